--- /dev/null
+++ b/crates/ebonydock/src/entry/answers.rs
@@ -0,0 +1,323 @@
+//! `POST /v1/chat/completions` and `POST /v1/completions`, whole and streamed.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::stream;
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::types::{Payload, State};
+use ntex::web::{HttpRequest, HttpResponse};
+use serde::Serialize;
+
+use crate::clock::{monotonic, unix_seconds};
+use crate::entry::auth::{KnownCaller, admit_caller, authenticate};
+use crate::entry::body::{parse_json, read_body, respond_json};
+use crate::entry::prompt::{AnswerBody, ChatMessage, prompt_of};
+use crate::entry::{Refusal, RefusalCode};
+use crate::ids::{ModelName, WorkspaceId};
+use crate::routing::{AnswerError, AnswerRequest, AnswerSession};
+use crate::scheduling::RequestClass;
+use crate::targets::TokenEvent;
+use crate::vm::{RunningGuard, VmContext};
+
+/// The shape of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerShape {
+    Chat,
+    Completion,
+}
+
+#[derive(Serialize)]
+struct WholeAnswer<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a ModelName,
+    choices: [WholeChoice<'a>; 1],
+    usage: TokenUsage,
+}
+
+#[derive(Serialize)]
+struct WholeChoice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<ChatMessage>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    finish_reason: &'a str,
+}
+
+#[derive(Serialize)]
+struct TokenUsage {
+    completion_tokens: u32,
+}
+
+#[derive(Serialize)]
+struct AnswerChunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a ModelName,
+    choices: [ChunkChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<ChunkDelta<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct ChunkDelta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+/// An answer on its way to its caller.
+struct OnlineAnswer {
+    id: String,
+    shape: AnswerShape,
+    model: ModelName,
+    workspace: WorkspaceId,
+    context: Rc<VmContext>,
+    session: AnswerSession,
+    received_at: Duration,
+    first_at: Option<Duration>,
+    _running: RunningGuard,
+}
+
+/// Handles `POST /v1/chat/completions`.
+pub(crate) async fn chat(
+    context: State<Rc<VmContext>>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    respond(&context, &request, payload, AnswerShape::Chat).await
+}
+
+/// Handles `POST /v1/completions`.
+pub(crate) async fn completion(
+    context: State<Rc<VmContext>>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    respond(&context, &request, payload, AnswerShape::Completion).await
+}
+
+async fn respond(
+    context: &Rc<VmContext>,
+    request: &HttpRequest,
+    payload: Payload,
+    shape: AnswerShape,
+) -> HttpResponse {
+    let result = answer(context, request, payload, shape).await;
+    result.unwrap_or_else(|(refusal, workspace)| {
+        context.shared.metrics.refusal(refusal.code.as_str(), workspace.as_ref());
+        refusal.response()
+    })
+}
+
+type RefusedCaller = (Refusal, Option<WorkspaceId>);
+
+async fn answer(
+    context: &Rc<VmContext>,
+    request: &HttpRequest,
+    payload: Payload,
+    shape: AnswerShape,
+) -> Result<HttpResponse, RefusedCaller> {
+    let received_at = monotonic();
+    let running = context.start_request();
+    let caller = authenticate(context, request).map_err(|refusal| (refusal, None))?;
+    let workspace = caller.entry.workspace.clone();
+    let named = |refusal: Refusal| (refusal, Some(workspace.clone()));
+    let body = read_body(payload, context.settings().online.body_limit).await.map_err(named)?;
+    let body: AnswerBody = parse_json(&body).map_err(named)?;
+    let stream = body.stream;
+    let request = answer_request(context, &caller, body).map_err(named)?;
+    admit_caller(context, &caller).await.map_err(named)?;
+    context.shared.retries().earn();
+    let mut answer = OnlineAnswer {
+        id: format!("answer-{}", uuid::Uuid::new_v4().simple()),
+        shape,
+        model: request.model.clone(),
+        workspace: workspace.clone(),
+        context: Rc::clone(context),
+        session: AnswerSession::open(context, request),
+        received_at,
+        first_at: None,
+        _running: running,
+    };
+    // The status can still tell of a failure before the first token, not behind it.
+    let first = answer.next().await.map_err(named)?;
+    if stream { Ok(answer.stream(first)) } else { answer.whole(first).await.map_err(named) }
+}
+
+fn answer_request(
+    context: &VmContext,
+    caller: &KnownCaller,
+    body: AnswerBody,
+) -> Result<AnswerRequest, Refusal> {
+    let prompt = prompt_of(body.prompt.as_deref(), &body.messages);
+    let prompt = prompt.map_err(|message| Refusal::new(RefusalCode::BadRequest, message))?;
+    if body.max_tokens == Some(0) {
+        return Err(Refusal::new(RefusalCode::BadRequest, "`max_tokens` must be at least 1"));
+    }
+    let allowed = context.shared.with_config(|c| c.may_use_model(&caller.entry, &body.model));
+    if !allowed {
+        let message = format!("plan `{}` does not cover model `{}`", caller.entry.plan, body.model);
+        return Err(Refusal::new(RefusalCode::NotAllowed, message));
+    }
+    let online = &context.settings().online;
+    Ok(AnswerRequest {
+        class: RequestClass::Online,
+        workspace: caller.entry.workspace.clone(),
+        key: Some(caller.key),
+        model: body.model,
+        prompt,
+        max_tokens: body.max_tokens.unwrap_or(online.default_tokens),
+        wait: online.wait,
+        order: 0,
+    })
+}
+
+impl OnlineAnswer {
+    async fn next(&mut self) -> Result<TokenEvent, Refusal> {
+        let result = self.session.next().await;
+        let now = monotonic();
+        let metrics = &self.context.shared.metrics;
+        match &result {
+            Ok(TokenEvent::Token(_)) if self.first_at.is_none() => {
+                self.first_at = Some(now);
+                let after = now.saturating_sub(self.received_at);
+                metrics.first_token(RequestClass::Online, &self.workspace, after);
+            }
+            Ok(TokenEvent::Token(_)) => {}
+            Ok(TokenEvent::Done(_)) => self.note_done(now),
+            Err(error) => log::info!("entry: An answer for `{}` failed: {error}.", self.workspace),
+        }
+        result.map_err(|error| self.refusal(&error))
+    }
+
+    fn note_done(&self, now: Duration) {
+        let metrics = &self.context.shared.metrics;
+        let tokens = self.session.tokens();
+        let took = now.saturating_sub(self.received_at);
+        metrics.answer(RequestClass::Online, &self.workspace, took, tokens);
+        if let Some(first) = self.first_at
+            && tokens > 1
+        {
+            let mean = now.saturating_sub(first) / (tokens - 1);
+            metrics.between_tokens(RequestClass::Online, &self.workspace, mean);
+        }
+    }
+
+    fn refusal(&self, error: &AnswerError) -> Refusal {
+        Refusal::of_answer(error, self.session.reached_target())
+    }
+
+    async fn whole(mut self, first: TokenEvent) -> Result<HttpResponse, Refusal> {
+        let mut event = first;
+        let reason = loop {
+            match event {
+                TokenEvent::Done(reason) => break reason,
+                TokenEvent::Token(_) => event = self.next().await?,
+            }
+        };
+        let text = self.session.text();
+        let chat = self.shape == AnswerShape::Chat;
+        let message = ChatMessage { role: "assistant".to_owned(), content: text.to_owned() };
+        let choice = WholeChoice {
+            index: 0,
+            message: chat.then_some(message),
+            text: (!chat).then_some(text),
+            finish_reason: &reason,
+        };
+        let answer = WholeAnswer {
+            id: &self.id,
+            object: if chat { "chat.completion" } else { "text_completion" },
+            created: unix_seconds(),
+            model: &self.model,
+            choices: [choice],
+            usage: TokenUsage { completion_tokens: self.session.tokens() },
+        };
+        Ok(respond_json(StatusCode::OK, &answer))
+    }
+
+    fn stream(self, first: TokenEvent) -> HttpResponse {
+        let state = StreamState { answer: self, pending: Some(first), ended: false };
+        let events = stream::unfold(state, |mut state| async move {
+            let part = state.part().await?;
+            Some((part, state))
+        });
+        HttpResponse::build(StatusCode::OK)
+            .content_type("text/event-stream")
+            .set_header("cache-control", "no-store")
+            .streaming(Box::pin(events))
+    }
+
+    fn chunk(&self, event: &TokenEvent) -> String {
+        let (text, finish_reason) = match event {
+            TokenEvent::Token(text) => (Some(text.as_str()), None),
+            TokenEvent::Done(reason) => (None, Some(reason.as_str())),
+        };
+        let chat = self.shape == AnswerShape::Chat;
+        let choice = ChunkChoice {
+            index: 0,
+            delta: chat.then_some(ChunkDelta { content: text }),
+            text: if chat { None } else { Some(text.unwrap_or_default()) },
+            finish_reason,
+        };
+        let chunk = AnswerChunk {
+            id: &self.id,
+            object: if chat { "chat.completion.chunk" } else { "text_completion" },
+            model: &self.model,
+            choices: [choice],
+        };
+        let json = serde_json::to_string(&chunk).unwrap_or_default();
+        if finish_reason.is_some() {
+            format!("data: {json}\n\ndata: [DONE]\n\n")
+        } else {
+            format!("data: {json}\n\n")
+        }
+    }
+}
+
+struct StreamState {
+    answer: OnlineAnswer,
+    pending: Option<TokenEvent>,
+    ended: bool,
+}
+
+/// The end of a stream whose answer is incomplete: the transfer ends as broken.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer is incomplete")]
+struct IncompleteAnswer;
+
+impl StreamState {
+    async fn part(&mut self) -> Option<Result<Bytes, IncompleteAnswer>> {
+        if self.ended {
+            // Reached only behind a failure or the last event.
+            return self.pending.take().map(|_| Err(IncompleteAnswer));
+        }
+        let event = match self.pending.take() {
+            Some(event) => Ok(event),
+            None => self.answer.next().await,
+        };
+        let text = match event {
+            Ok(event) => {
+                self.ended = matches!(event, TokenEvent::Done(_));
+                self.answer.chunk(&event)
+            }
+            Err(refusal) => {
+                self.ended = true;
+                self.pending = Some(TokenEvent::Done(String::new()));
+                format!("data: {}\n\n", refusal.json())
+            }
+        };
+        Some(Ok(Bytes::from(text)))
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/entry/refusal.rs
@@ -0,0 +1,204 @@
+//! Refusals: a code, a sentence, and whether the request was certainly not run.
+
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use ntex::web::HttpResponse;
+use serde::Serialize;
+
+use crate::jobs::SubmitError;
+use crate::notices::NoticeError;
+use crate::platform::PlatformError;
+use crate::routing::AnswerError;
+
+/// Why a request was refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalCode {
+    /// No key, or one that does not exist.
+    InvalidKey,
+    /// The key was withdrawn while the request ran.
+    KeyWithdrawn,
+    /// The plan does not cover it.
+    NotAllowed,
+    /// The request is malformed.
+    BadRequest,
+    /// The body is too large.
+    TooLarge,
+    /// There is no such thing.
+    NotFound,
+    /// It contradicts something that exists.
+    Conflict,
+    /// The workspace is over its rate.
+    RateLimited,
+    /// Every target is busy.
+    Busy,
+    /// No target can do it.
+    NoTarget,
+    /// The target refused it.
+    Rejected,
+    /// Targets failed.
+    TargetFailed,
+    /// It may have been run.
+    OutcomeUnknown,
+    /// The platform does not answer.
+    PlatformUnavailable,
+    /// The VM has no configuration yet.
+    NotReady,
+}
+
+impl RefusalCode {
+    /// The code as callers and metrics see it.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::InvalidKey => "invalid_key",
+            Self::KeyWithdrawn => "key_withdrawn",
+            Self::NotAllowed => "not_allowed",
+            Self::BadRequest => "bad_request",
+            Self::TooLarge => "too_large",
+            Self::NotFound => "not_found",
+            Self::Conflict => "conflict",
+            Self::RateLimited => "rate_limited",
+            Self::Busy => "busy",
+            Self::NoTarget => "no_target",
+            Self::Rejected => "rejected",
+            Self::TargetFailed => "target_failed",
+            Self::OutcomeUnknown => "outcome_unknown",
+            Self::PlatformUnavailable => "platform_unavailable",
+            Self::NotReady => "not_ready",
+        }
+    }
+
+    fn status(self) -> StatusCode {
+        match self {
+            Self::InvalidKey | Self::KeyWithdrawn => StatusCode::UNAUTHORIZED,
+            Self::NotAllowed => StatusCode::FORBIDDEN,
+            Self::BadRequest | Self::Rejected => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::Conflict => StatusCode::CONFLICT,
+            Self::RateLimited => StatusCode::TOO_MANY_REQUESTS,
+            Self::TargetFailed | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::Busy | Self::NoTarget | Self::PlatformUnavailable | Self::NotReady => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+        }
+    }
+}
+
+/// A refusal.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// Why.
+    pub(crate) code: RefusalCode,
+    /// A sentence for people.
+    pub(crate) message: String,
+    /// Whether the request was certainly not run.
+    pub(crate) not_run: bool,
+    /// When to try again.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    error: RefusalDetail<'a>,
+}
+
+#[derive(Serialize)]
+struct RefusalDetail<'a> {
+    code: &'static str,
+    message: &'a str,
+    not_run: bool,
+}
+
+impl Refusal {
+    /// A refusal of a request that was not run.
+    pub(crate) fn new(code: RefusalCode, message: impl Into<String>) -> Self {
+        Self { code, message: message.into(), not_run: true, retry_after: None }
+    }
+
+    /// Says that the request may have been run.
+    pub(crate) fn maybe_run(mut self) -> Self {
+        self.not_run = false;
+        self
+    }
+
+    /// Says when to try again.
+    pub(crate) fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// The refusal as JSON.
+    pub(crate) fn json(&self) -> String {
+        let detail = RefusalDetail {
+            code: self.code.as_str(),
+            message: &self.message,
+            not_run: self.not_run,
+        };
+        serde_json::to_string(&RefusalBody { error: detail }).unwrap_or_default()
+    }
+
+    /// The refusal as an HTTP response.
+    pub(crate) fn response(&self) -> HttpResponse {
+        let mut response = HttpResponse::build(self.code.status());
+        response.content_type("application/json");
+        if let Some(after) = self.retry_after {
+            response.set_header("retry-after", after.as_secs_f64().ceil().to_string());
+        }
+        response.body(self.json())
+    }
+}
+
+impl From<PlatformError> for Refusal {
+    fn from(error: PlatformError) -> Self {
+        let refusal = Self::new(RefusalCode::PlatformUnavailable, error.to_string());
+        refusal.retry_after(Duration::from_secs(2))
+    }
+}
+
+impl From<SubmitError> for Refusal {
+    fn from(error: SubmitError) -> Self {
+        let message = error.to_string();
+        match error {
+            SubmitError::Invalid(_) => Self::new(RefusalCode::BadRequest, message),
+            SubmitError::Conflict => Self::new(RefusalCode::Conflict, message),
+            SubmitError::Platform(error) => Self::from(error),
+        }
+    }
+}
+
+impl From<NoticeError> for Refusal {
+    fn from(error: NoticeError) -> Self {
+        let message = error.to_string();
+        match error {
+            NoticeError::NoTarget => Self::new(RefusalCode::NoTarget, message),
+            NoticeError::NotSent => {
+                Self::new(RefusalCode::TargetFailed, message).retry_after(Duration::from_secs(1))
+            }
+            NoticeError::Conflict => Self::new(RefusalCode::Conflict, message),
+            NoticeError::OutcomeUnknown => {
+                Self::new(RefusalCode::OutcomeUnknown, message).maybe_run()
+            }
+            NoticeError::Platform(error) => Self::from(error),
+        }
+    }
+}
+
+impl Refusal {
+    /// The refusal for an answer that failed; `reached_target` says whether a target may have run it.
+    pub(crate) fn of_answer(error: &AnswerError, reached_target: bool) -> Self {
+        let code = match error {
+            AnswerError::Busy => RefusalCode::Busy,
+            AnswerError::NoTarget => RefusalCode::NoTarget,
+            AnswerError::KeyWithdrawn => RefusalCode::KeyWithdrawn,
+            AnswerError::Rejected(_) => RefusalCode::Rejected,
+            AnswerError::Failed(..) => RefusalCode::TargetFailed,
+        };
+        let mut refusal = Self::new(code, error.to_string());
+        refusal.not_run = !reached_target;
+        if *error == AnswerError::Busy {
+            refusal.retry_after = Some(Duration::from_secs(1));
+        }
+        refusal
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/lib.rs
@@ -0,0 +1,82 @@
+//! ebonydock: online and batch inference on one fleet.
+//!
+//! One program runs on every entry VM. Each module is one duty with its state, messages and tests;
+//! decisions are state machines without I/O that take the time as an argument. This root lists what
+//! other crates may use.
+
+mod clock;
+mod configuration;
+mod entry;
+mod ids;
+mod jobs;
+mod limits;
+mod membership;
+mod metrics;
+mod notices;
+mod operators;
+mod ownership;
+mod peers;
+mod platform;
+mod routing;
+mod scheduling;
+mod settings;
+mod targets;
+mod vm;
+
+pub use clock::{monotonic, unix_seconds};
+pub use configuration::{
+    AccessEntry, Change, ConfigDocument, KeyHash, RouteRule, ServiceCall, VersionedBatch,
+    WorkspaceEntry,
+};
+pub use ids::{
+    AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
+    RowKey, ServiceName, TargetId, VmId, WorkspaceId,
+};
+pub use jobs::ChunkLedger;
+pub use limits::{
+    BucketLedger, BucketOwner, BucketShare, DrawContext, SpendingAllowance, TokenLoan,
+};
+pub use membership::{ContactLimits, MemberRecord, MembershipView};
+pub use notices::{NoticeRow, NoticeState, NoticeStep, next_step};
+pub use operators::messages::{
+    ConfigReply, DataCentreReport, EditBody, EditReply, KeyEntry, MemberReport, StatusReply,
+};
+pub use ownership::{owner_of, ranked};
+pub use platform::http::PlatformClient;
+pub use platform::{
+    EngineCapability, FleetListing, ObjectStore, PlatformError, PlatformResult, RowCondition,
+    RowWrite, TableRow, TableStore, TableTransaction, TargetEntry, TargetRole, VmEntry, VmList,
+};
+pub use routing::{DataCentreLoad, RetryBudget, rank_data_centres};
+pub use scheduling::{
+    AffinityPolicy, CacheReport, Decision, FairQueue, PoolPolicy, PoolScheduler, PrefixIndex,
+    QueuePlace, RequestClass, ReserveEstimator, TargetState, TargetWarmth, WaiterId, WorkspaceLoad,
+    YieldPolicy,
+};
+pub use settings::{
+    Finding, JobSettings, ObjectReader, OnlineSettings, SettingsFindings, TlsFiles, VmSettings,
+    read_document, read_pool,
+};
+pub use targets::http::{EngineCache, EngineEvent, TargetClient};
+pub use targets::{
+    EngineClient, EngineOrder, EngineStatus, GenerateRequest, ServiceClient, ServiceRequest,
+    ServiceResponse, TargetError, TokenEvent, TokenEvents, TokenStream,
+};
+pub use vm::{VmAddresses, VmHandle};
+
+/// The messages between VMs, for tools that measure them.
+pub mod wire {
+    pub use crate::configuration::messages::{ChangeBatch, ChangeQuery, ChangeReply};
+    pub use crate::jobs::messages::{ChunkOrder, ChunkReport, JobSignal};
+    pub use crate::limits::messages::{
+        BucketHandover, BucketRecord, GrantId, GrantReply, GrantRequest,
+    };
+    pub use crate::membership::messages::{
+        DataCentreDigest, Heartbeat, MemberPhase, PoolSummary, VmAddress,
+    };
+    pub use crate::peers::messages::{Envelope, PeerDatagram, PeerReply, PeerRequest};
+    pub use crate::scheduling::messages::{
+        AcquireRefusal, AcquireReply, AcquireRequest, HeldQuery, HeldRecord, HeldReply, LeaseGrant,
+        LeaseOutcome, ReleaseReport, RequestDemand, RevokeOrder, StartReport,
+    };
+}
--- /dev/null
+++ b/crates/ebonydock/src/limits/admission.rs
@@ -0,0 +1,224 @@
+//! Admitting a request: spending a token, drawing more from the bucket's owner, borrowing.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::clock::monotonic;
+use crate::configuration::WorkspaceEntry;
+use crate::ids::{DataCentreId, VmId, WorkspaceId};
+use crate::limits::messages::{BucketHandover, GrantId, GrantReply, GrantRequest};
+use crate::limits::{BucketShare, DrawContext, TokenLoan};
+use crate::peers::messages::{PeerReply, PeerRequest};
+use crate::vm::VmShared;
+
+const DRAW_TIMEOUT: Duration = Duration::from_millis(500);
+const LEND_TIMEOUT: Duration = Duration::from_millis(250);
+/// A request waits this long in all for a token that is about to come.
+const PATIENCE: Duration = Duration::from_millis(600);
+const SHORTEST_PAUSE: Duration = Duration::from_millis(20);
+/// Borrowed at once, so that not every request crosses data centres.
+const LEAST_LOAN: u32 = 4;
+
+static NEXT_GRANT: AtomicU64 = AtomicU64::new(1);
+
+fn next_grant() -> GrantId {
+    GrantId(NEXT_GRANT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// The key that decides which VM owns a workspace's bucket.
+fn bucket_key(workspace: &WorkspaceId) -> String {
+    format!("bucket/{workspace}")
+}
+
+/// Spends a token of the workspace's rate.
+///
+/// # Errors
+///
+/// When to try again.
+pub(crate) async fn admit(shared: &VmShared, entry: &WorkspaceEntry) -> Result<(), Duration> {
+    let deadline = monotonic() + PATIENCE;
+    let want = shared.allowances().entry(entry.workspace.clone()).or_default().want(monotonic());
+    loop {
+        if spend(shared, &entry.workspace) {
+            return Ok(());
+        }
+        let reply = draw(shared, entry, want).await;
+        if spend(shared, &entry.workspace) {
+            return Ok(());
+        }
+        let pause = Duration::from_millis(reply.retry_after_ms.into()).max(SHORTEST_PAUSE);
+        if monotonic() + pause > deadline {
+            return Err(pause);
+        }
+        ntex::time::sleep(pause).await;
+    }
+}
+
+fn spend(shared: &VmShared, workspace: &WorkspaceId) -> bool {
+    let mut allowances = shared.allowances();
+    allowances.entry(workspace.clone()).or_default().spend(monotonic())
+}
+
+async fn draw(shared: &VmShared, entry: &WorkspaceEntry, want: u32) -> GrantReply {
+    let sent_at = monotonic();
+    let grant = next_grant();
+    let closed = {
+        let mut allowances = shared.allowances();
+        allowances.entry(entry.workspace.clone()).or_default().take_closed(sent_at)
+    };
+    let workspace = entry.workspace.clone();
+    let request = GrantRequest { workspace, grant, want, closed };
+    let reply = match shared.owner(&bucket_key(&entry.workspace)) {
+        None => GrantReply::not_owner(),
+        Some(owner) if owner == shared.settings.vm => draw_from_own(shared, &owner, &request).await,
+        Some(owner) => {
+            let reply = shared.request(&owner, PeerRequest::Draw(request), DRAW_TIMEOUT).await;
+            match reply {
+                Ok(PeerReply::Grant(reply)) => reply,
+                Ok(_) | Err(_) => GrantReply::not_owner(),
+            }
+        }
+    };
+    let mut allowances = shared.allowances();
+    allowances.entry(entry.workspace.clone()).or_default().add(sent_at, grant, reply);
+    reply
+}
+
+impl GrantReply {
+    /// The answer of a VM that does not own the bucket: ask again soon.
+    pub(crate) fn not_owner() -> Self {
+        Self { tokens: 0, lifetime_ms: 0, retry_after_ms: 100, owner: false }
+    }
+}
+
+fn draw_context(shared: &VmShared, entry: &WorkspaceEntry) -> DrawContext {
+    let now = monotonic();
+    DrawContext {
+        now,
+        bucket: bucket_of(shared, entry),
+        share: shared.membership().confirmed_share(now),
+    }
+}
+
+fn bucket_of(shared: &VmShared, entry: &WorkspaceEntry) -> BucketShare {
+    let settings = &shared.settings;
+    let workspace = entry.workspace.as_str();
+    let (own, all) = (&settings.data_centre, &settings.data_centres);
+    BucketShare::of_data_centre(workspace, entry.rate, entry.burst, own, all)
+}
+
+fn owned_entry(shared: &VmShared, workspace: &WorkspaceId) -> Option<WorkspaceEntry> {
+    let owner = shared.owner(&bucket_key(workspace));
+    if owner.as_ref() != Some(&shared.settings.vm) {
+        return None;
+    }
+    shared.with_config(|config| config.workspace(workspace).cloned())
+}
+
+/// Grants tokens of a bucket that this VM owns; borrows from other data centres when it is empty.
+pub(crate) async fn draw_from_own(
+    shared: &VmShared,
+    from: &VmId,
+    request: &GrantRequest,
+) -> GrantReply {
+    let Some(entry) = owned_entry(shared, &request.workspace) else {
+        return GrantReply::not_owner();
+    };
+    let reply = shared.buckets().draw(&draw_context(shared, &entry), from, request);
+    if reply.tokens > 0 {
+        return reply;
+    }
+    if !borrow(shared, &entry, request.want).await {
+        return reply;
+    }
+    // The VM may have lost the bucket while it waited for the lender.
+    if owned_entry(shared, &request.workspace).is_none() {
+        return GrantReply::not_owner();
+    }
+    shared.buckets().draw(&draw_context(shared, &entry), from, request)
+}
+
+/// Lends tokens of a bucket that this VM owns to another data centre.
+pub(crate) fn lend_from_own(shared: &VmShared, from: &VmId, request: &GrantRequest) -> GrantReply {
+    let Some(entry) = owned_entry(shared, &request.workspace) else {
+        return GrantReply::not_owner();
+    };
+    shared.buckets().lend(&draw_context(shared, &entry), from, request)
+}
+
+async fn borrow(shared: &VmShared, entry: &WorkspaceEntry, want: u32) -> bool {
+    let settings = &shared.settings;
+    let others = settings.data_centres.iter().filter(|id| **id != settings.data_centre);
+    let mut others: Vec<&DataCentreId> = others.collect();
+    if others.is_empty() {
+        return false;
+    }
+    // Lenders take turns.
+    let turn = NEXT_GRANT.load(Ordering::Relaxed) as usize % others.len();
+    others.rotate_left(turn);
+    for data_centre in others {
+        let Some(lender) = shared.owner_in(data_centre, &bucket_key(&entry.workspace)) else {
+            continue;
+        };
+        if borrow_from(shared, entry, &lender, want.max(LEAST_LOAN)).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn borrow_from(shared: &VmShared, entry: &WorkspaceEntry, lender: &VmId, want: u32) -> bool {
+    let sent_at = monotonic();
+    let workspace = entry.workspace.clone();
+    let closed = shared.buckets().take_closed_loans(lender, &workspace);
+    let grant = next_grant();
+    let request = GrantRequest { workspace, grant, want, closed };
+    let reply = shared.request(lender, PeerRequest::Lend(request), LEND_TIMEOUT).await;
+    let Ok(PeerReply::Grant(reply)) = reply else { return false };
+    if reply.tokens == 0 {
+        return false;
+    }
+    let expires_at = sent_at + Duration::from_millis(reply.lifetime_ms.into());
+    let loan = TokenLoan { grant, tokens: reply.tokens, expires_at };
+    let context = draw_context(shared, entry);
+    shared.buckets().add_loan(&context, lender, &entry.workspace, &loan);
+    true
+}
+
+/// Gives up buckets that this VM does not own any more, by new owner.
+pub(crate) fn release_buckets(shared: &VmShared) -> Vec<(VmId, BucketHandover)> {
+    let now = monotonic();
+    shared.buckets().note_view_change(now);
+    let owner_of = |workspace: &WorkspaceId| shared.owner(&bucket_key(workspace));
+    let own = Some(&shared.settings.vm);
+    let lost = shared.buckets().release(|workspace| owner_of(workspace).as_ref() == own);
+    let mut handovers: Vec<(VmId, BucketHandover)> = Vec::new();
+    for record in lost {
+        let Some(owner) = owner_of(&record.workspace) else { continue };
+        match handovers.iter_mut().find(|(vm, _)| *vm == owner) {
+            Some((_, handover)) => handover.buckets.push(record),
+            None => handovers.push((owner, BucketHandover { buckets: vec![record] })),
+        }
+    }
+    handovers
+}
+
+/// Takes buckets from their previous owner.
+pub(crate) fn take_over_buckets(shared: &VmShared, handover: &BucketHandover) {
+    for record in &handover.buckets {
+        if let Some(entry) = owned_entry(shared, &record.workspace) {
+            shared.buckets().take_over(&draw_context(shared, &entry), record);
+        }
+    }
+}
+
+/// Drops state that a later request would create again.
+pub(crate) fn compact(shared: &VmShared) {
+    let now = monotonic();
+    shared.allowances().retain(|_, allowance| !allowance.is_idle(now));
+    let bucket_of = |workspace: &WorkspaceId| {
+        let entry = shared.with_config(|config| config.workspace(workspace).cloned());
+        entry.map_or(BucketShare { rate: 0.0, burst: 0.0 }, |entry| bucket_of(shared, &entry))
+    };
+    shared.buckets().compact(now, bucket_of);
+}
--- /dev/null
+++ b/crates/ebonydock/src/metrics/mod.rs
@@ -0,0 +1,204 @@
+//! Metrics in the `OpenMetrics` text format.
+
+use std::collections::HashSet;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::ids::WorkspaceId;
+use crate::scheduling::RequestClass;
+
+/// Workspaces with metrics of their own; the rest share the label `other`.
+const WORKSPACE_LABELS: usize = 200;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum ClassLabel {
+    Online,
+    Batch,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabels {
+    class: ClassLabel,
+    workspace: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    code: &'static str,
+    workspace: String,
+}
+
+type HistogramFamily = Family<ClassLabels, Histogram, fn() -> Histogram>;
+
+fn seconds_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.002, 1.6, 20))
+}
+
+/// The metrics of a VM.
+pub(crate) struct VmMetrics {
+    registry: Registry,
+    first_token: HistogramFamily,
+    between_tokens: HistogramFamily,
+    whole_answer: HistogramFamily,
+    tokens: Family<ClassLabels, Counter>,
+    refusals: Family<RefusalLabels, Counter>,
+    running: Gauge,
+    config_version: Gauge,
+    members: Gauge,
+    peer_messages: Gauge,
+    peer_bytes: Gauge,
+    named: Mutex<HashSet<WorkspaceId>>,
+}
+
+impl VmMetrics {
+    /// Metrics that start at zero.
+    pub(crate) fn open() -> Self {
+        let mut registry = Registry::with_prefix("ebonydock");
+        let histograms = || Family::new_with_constructor(seconds_histogram as fn() -> Histogram);
+        let metrics = Self {
+            first_token: histograms(),
+            between_tokens: histograms(),
+            whole_answer: histograms(),
+            tokens: Family::default(),
+            refusals: Family::default(),
+            running: Gauge::default(),
+            config_version: Gauge::default(),
+            members: Gauge::default(),
+            peer_messages: Gauge::default(),
+            peer_bytes: Gauge::default(),
+            named: Mutex::default(),
+            registry: Registry::default(),
+        };
+        let seconds = || Unit::Seconds;
+        registry.register_with_unit(
+            "first_token",
+            "Time to the first token",
+            seconds(),
+            metrics.first_token.clone(),
+        );
+        registry.register_with_unit(
+            "between_tokens",
+            "Time between tokens",
+            seconds(),
+            metrics.between_tokens.clone(),
+        );
+        registry.register_with_unit(
+            "answer",
+            "Time to the whole answer",
+            seconds(),
+            metrics.whole_answer.clone(),
+        );
+        registry.register("tokens", "Tokens generated", metrics.tokens.clone());
+        registry.register("refusals", "Requests refused", metrics.refusals.clone());
+        registry.register("running", "Requests that run", metrics.running.clone());
+        registry.register(
+            "config_version",
+            "Configuration in force",
+            metrics.config_version.clone(),
+        );
+        registry.register(
+            "members",
+            "VMs of the data centre that are heard",
+            metrics.members.clone(),
+        );
+        registry.register("peer_messages", "Messages sent to VMs", metrics.peer_messages.clone());
+        registry.register(
+            "peer_payload",
+            "Bytes in messages sent to VMs",
+            metrics.peer_bytes.clone(),
+        );
+        Self { registry, ..metrics }
+    }
+
+    /// Notes the first token of an answer.
+    pub(crate) fn first_token(
+        &self,
+        class: RequestClass,
+        workspace: &WorkspaceId,
+        after: Duration,
+    ) {
+        let labels = self.labels(class, workspace);
+        self.first_token.get_or_create(&labels).observe(after.as_secs_f64());
+    }
+
+    /// Notes a complete answer.
+    pub(crate) fn answer(
+        &self,
+        class: RequestClass,
+        workspace: &WorkspaceId,
+        took: Duration,
+        tokens: u32,
+    ) {
+        let labels = self.labels(class, workspace);
+        self.whole_answer.get_or_create(&labels).observe(took.as_secs_f64());
+        self.tokens.get_or_create(&labels).inc_by(tokens.into());
+    }
+
+    /// Notes the mean time between the tokens of an answer.
+    pub(crate) fn between_tokens(
+        &self,
+        class: RequestClass,
+        workspace: &WorkspaceId,
+        mean: Duration,
+    ) {
+        let labels = self.labels(class, workspace);
+        self.between_tokens.get_or_create(&labels).observe(mean.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn refusal(&self, code: &'static str, workspace: Option<&WorkspaceId>) {
+        let workspace = workspace.map_or_else(String::new, |workspace| self.label(workspace));
+        self.refusals.get_or_create(&RefusalLabels { code, workspace }).inc();
+    }
+
+    /// Sets the gauges.
+    pub(crate) fn set_gauges(
+        &self,
+        running: usize,
+        config: u64,
+        members: usize,
+        peers: (u64, u64),
+    ) {
+        self.running.set(running as i64);
+        self.config_version.set(config.cast_signed());
+        self.members.set(members as i64);
+        self.peer_messages.set(peers.0.cast_signed());
+        self.peer_bytes.set(peers.1.cast_signed());
+    }
+
+    /// The metrics as text.
+    pub(crate) fn encode(&self) -> String {
+        let mut buffer = String::new();
+        if text::encode(&mut buffer, &self.registry).is_err() {
+            log::error!("metrics: The metrics could not be encoded.");
+        }
+        buffer
+    }
+
+    fn labels(&self, class: RequestClass, workspace: &WorkspaceId) -> ClassLabels {
+        let class = match class {
+            RequestClass::Online => ClassLabel::Online,
+            RequestClass::Batch => ClassLabel::Batch,
+        };
+        ClassLabels { class, workspace: self.label(workspace) }
+    }
+
+    fn label(&self, workspace: &WorkspaceId) -> String {
+        let mut named = self.named.lock().unwrap_or_else(PoisonError::into_inner);
+        if named.contains(workspace) {
+            return workspace.to_string();
+        }
+        if named.len() >= WORKSPACE_LABELS {
+            return "other".to_owned();
+        }
+        named.insert(workspace.clone());
+        workspace.to_string()
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/notices/step.rs
@@ -0,0 +1,68 @@
+//! What to do about a call with an idempotency key. Free of I/O.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::targets::ServiceResponse;
+
+/// A reservation that did not change for this long was abandoned before anything was sent.
+const RESERVATION_LIFETIME: Duration = Duration::from_secs(5);
+/// A call that is marked as sending for longer than this has an unknown outcome.
+const SENDING_LIFETIME: Duration = Duration::from_secs(10);
+
+/// How far a call got.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NoticeState {
+    /// Reserved; nothing was sent.
+    Reserved,
+    /// Bytes may have been sent.
+    Sending,
+    /// The service answered.
+    Answered(ServiceResponse),
+    /// The connection broke behind the first byte.
+    Unknown,
+}
+
+/// The row of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NoticeRow {
+    /// The hash of the call, which tells a resent call from another one.
+    pub digest: String,
+    /// How far the call got.
+    pub state: NoticeState,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NoticeStep {
+    /// Reserve the call by writing the row, which must be absent.
+    Reserve,
+    /// Take an abandoned reservation over.
+    TakeOver,
+    /// Look again later.
+    Wait,
+    /// Replay the outcome.
+    Replay(ServiceResponse),
+    /// Say that the key was used for another call.
+    Conflict,
+    /// Say that the outcome is unknown.
+    Unknown,
+}
+
+/// The next step for a call with this digest, given its row and for how long the row was seen unchanged,
+/// by the observer's own clock.
+pub fn next_step(row: Option<&NoticeRow>, digest: &str, unchanged: Duration) -> NoticeStep {
+    let Some(row) = row else { return NoticeStep::Reserve };
+    if row.digest != digest {
+        return NoticeStep::Conflict;
+    }
+    match &row.state {
+        NoticeState::Reserved if unchanged >= RESERVATION_LIFETIME => NoticeStep::TakeOver,
+        NoticeState::Sending if unchanged >= SENDING_LIFETIME => NoticeStep::Unknown,
+        NoticeState::Reserved | NoticeState::Sending => NoticeStep::Wait,
+        NoticeState::Answered(response) => NoticeStep::Replay(response.clone()),
+        NoticeState::Unknown => NoticeStep::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/operators/changes.rs
@@ -0,0 +1,58 @@
+//! Bringing accepted changes into force.
+
+use std::rc::Rc;
+
+use crate::configuration::VersionedBatch;
+use crate::configuration::messages::{ChangeBatch, ChangeReply};
+use crate::ids::VmId;
+use crate::ownership::owner_of;
+use crate::peers::messages::PeerRequest;
+use crate::routing::send_in_background;
+use crate::vm::VmContext;
+
+/// Brings changes into force at this VM. Returns the batches that were new.
+pub(crate) fn apply_reply(context: &VmContext, reply: ChangeReply) -> Vec<VersionedBatch> {
+    let before = context.shared.with_config(|config| config.version);
+    let applied = context.shared.update_config(|state| state.advance(reply));
+    let after = context.shared.with_config(|config| config.version);
+    if after > before {
+        log::info!("config: Version {after} is in force.");
+    }
+    applied
+}
+
+/// Tells the other VMs of the data centre, and one VM of each other data centre, which relays.
+pub(crate) fn announce(context: &Rc<VmContext>, batches: &[VersionedBatch], far: bool) {
+    if batches.is_empty() {
+        return;
+    }
+    let members: Vec<VmId> =
+        context.shared.membership().members().map(|(vm, _)| vm.clone()).collect();
+    for vm in members {
+        let batch = ChangeBatch { batches: batches.to_vec(), relay: false };
+        send_in_background(context, vm, PeerRequest::Announce(batch));
+    }
+    if !far {
+        return;
+    }
+    for vm in relays(context) {
+        let batch = ChangeBatch { batches: batches.to_vec(), relay: true };
+        send_in_background(context, vm, PeerRequest::Announce(batch));
+    }
+}
+
+/// One VM of each other data centre.
+fn relays(context: &VmContext) -> Vec<VmId> {
+    let settings = context.settings();
+    let others = settings.data_centres.iter().filter(|id| **id != settings.data_centre);
+    let fleet = context.shared.fleet();
+    let relay = |data_centre| {
+        let digest = fleet.digest(crate::clock::monotonic(), data_centre);
+        let vms: Vec<VmId> = match digest {
+            Some(digest) => digest.vms.iter().map(|entry| entry.vm.clone()).collect(),
+            None => fleet.vms_of(data_centre).into_iter().map(|entry| entry.vm).collect(),
+        };
+        owner_of("relay", &vms).cloned()
+    };
+    others.filter_map(relay).collect()
+}
--- /dev/null
+++ b/crates/ebonydock/src/operators/server.rs
@@ -0,0 +1,169 @@
+//! The routes for operators.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use ntex::http::StatusCode;
+use ntex::web::types::{Payload, State};
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+use serde::Serialize;
+
+use crate::clock::{monotonic, unix_seconds};
+use crate::configuration::messages::ChangeReply;
+use crate::configuration::{ConfigDocument, ConfigStore, EditError};
+use crate::entry::{Refusal, RefusalCode, parse_json, read_body, respond_json};
+use crate::jobs::{JobRow, JobState, ProgressRow};
+use crate::operators::messages::{EditBody, EditReply};
+use crate::operators::{announce, apply_reply, status};
+use crate::platform::durable::decode_row;
+use crate::vm::VmContext;
+
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+const OPERATOR_HEADER: &str = "x-operator-key";
+/// How long an edit waits for the VMs to bring it into force before it answers.
+const FORCE_WAIT: Duration = Duration::from_millis(1500);
+const FORCE_POLL: Duration = Duration::from_millis(50);
+const JOB_PAGE: usize = 1000;
+
+/// Adds the routes for operators.
+pub(crate) fn configure(config: &mut ServiceConfig) {
+    config
+        .route("/operator/v1/config", web::get().to(show_config))
+        .route("/operator/v1/changes", web::post().to(edit))
+        .route("/operator/v1/status", web::get().to(show_status))
+        .route("/operator/v1/jobs", web::get().to(show_jobs));
+}
+
+fn authorise(context: &VmContext, request: &HttpRequest) -> Result<(), Refusal> {
+    let key = request.headers().get(OPERATOR_HEADER).and_then(|value| value.to_str().ok());
+    let hash = key.map(crate::configuration::KeyHash::of);
+    if hash == Some(context.settings().operator_key) {
+        return Ok(());
+    }
+    let message = format!("send the operators' key as `{OPERATOR_HEADER}`");
+    Err(Refusal::new(RefusalCode::InvalidKey, message))
+}
+
+async fn show_config(context: State<Rc<VmContext>>, request: HttpRequest) -> HttpResponse {
+    match authorise(&context, &request) {
+        Ok(()) => respond_json(StatusCode::OK, &status::config(&context.shared)),
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn show_status(context: State<Rc<VmContext>>, request: HttpRequest) -> HttpResponse {
+    match authorise(&context, &request) {
+        Ok(()) => respond_json(StatusCode::OK, &status::status(&context.shared)),
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn edit(
+    context: State<Rc<VmContext>>,
+    request: HttpRequest,
+    payload: Payload,
+) -> HttpResponse {
+    let result = async {
+        authorise(&context, &request)?;
+        let body = read_body(payload, BODY_LIMIT).await?;
+        accept(&context, parse_json(&body)?).await
+    };
+    match result.await {
+        Ok(reply) => respond_json(StatusCode::OK, &reply),
+        Err(refusal) => refusal.response(),
+    }
+}
+
+/// Accepts an edit, brings it into force here, and waits a moment for the other VMs.
+async fn accept(context: &Rc<VmContext>, edit: EditBody) -> Result<EditReply, Refusal> {
+    let store = ConfigStore::open(Rc::clone(&context.table), Rc::clone(&context.objects));
+    catch_up(context, &store).await?;
+    let document: ConfigDocument = context.shared.with_config(Clone::clone);
+    if document.version != edit.base_version {
+        return Err(refusal_of(EditError::Conflict(document.version)));
+    }
+    let batch = store.edit(&document, edit.changes).await.map_err(refusal_of)?;
+    let version = batch.version;
+    let batches = vec![batch];
+    apply_reply(context, ChangeReply::Batches(batches.clone()));
+    announce(context, &batches, true);
+    let deadline = monotonic() + FORCE_WAIT;
+    loop {
+        let not_yet_in_force = status::not_yet_in_force(&context.shared, version);
+        if not_yet_in_force.is_empty() || monotonic() >= deadline {
+            return Ok(EditReply { version, not_yet_in_force });
+        }
+        ntex::time::sleep(FORCE_POLL).await;
+    }
+}
+
+async fn catch_up(context: &VmContext, store: &ConfigStore) -> Result<(), Refusal> {
+    loop {
+        let version = context.shared.with_config(|config| config.version);
+        let Some(reply) = store.read_after(version).await? else { return Ok(()) };
+        apply_reply(context, reply);
+        if context.shared.with_config(|config| config.version) == version {
+            return Ok(());
+        }
+    }
+}
+
+fn refusal_of(error: EditError) -> Refusal {
+    let message = error.to_string();
+    match error {
+        EditError::Conflict(_) => Refusal::new(RefusalCode::Conflict, message),
+        EditError::Invalid(_) => Refusal::new(RefusalCode::BadRequest, message),
+        EditError::Platform(error) => Refusal::from(error).maybe_run(),
+    }
+}
+
+#[derive(Serialize)]
+struct JobList {
+    jobs: Vec<JobLine>,
+}
+
+#[derive(Serialize)]
+struct JobLine {
+    job: String,
+    status: JobState,
+    items: u64,
+    completed: u64,
+    failed: u64,
+    lead: Option<String>,
+    due_in_s: i64,
+}
+
+async fn show_jobs(context: State<Rc<VmContext>>, request: HttpRequest) -> HttpResponse {
+    let result = async {
+        authorise(&context, &request)?;
+        list_jobs(&context).await
+    };
+    match result.await {
+        Ok(list) => respond_json(StatusCode::OK, &list),
+        Err(refusal) => refusal.response(),
+    }
+}
+
+async fn list_jobs(context: &VmContext) -> Result<JobList, Refusal> {
+    let rows = context.table.list("job/", "", JOB_PAGE).await?;
+    let progress = context.table.list("progress/", "", JOB_PAGE).await?;
+    let mut jobs = Vec::new();
+    for row in rows {
+        let name = row.key.as_str().trim_start_matches("job/").to_owned();
+        let job: JobRow = decode_row(&row.value)?;
+        let key = format!("progress/{name}");
+        let progress = progress.iter().find(|row| row.key.as_str() == key);
+        let progress: ProgressRow =
+            progress.map(|row| decode_row(&row.value)).transpose()?.unwrap_or_default();
+        jobs.push(JobLine {
+            job: name,
+            status: job.state,
+            items: job.items,
+            completed: progress.completed(),
+            failed: progress.failed(),
+            lead: progress.lead.map(|vm| vm.to_string()),
+            due_in_s: job.due.cast_signed() - unix_seconds().cast_signed(),
+        });
+    }
+    Ok(JobList { jobs })
+}
--- /dev/null
+++ b/crates/ebonydock/src/operators/status.rs
@@ -0,0 +1,80 @@
+//! What a VM tells operators.
+
+use crate::clock::monotonic;
+use crate::ids::ConfigVersion;
+use crate::operators::messages::{
+    ConfigReply, DataCentreReport, KeyEntry, MemberReport, StatusReply,
+};
+use crate::vm::VmShared;
+
+/// The status of a VM.
+pub(crate) fn status(shared: &VmShared) -> StatusReply {
+    let now = monotonic();
+    let settings = &shared.settings;
+    let config_version = shared.with_config(|config| config.version);
+    let membership = shared.membership();
+    let members = membership.members().map(|(vm, record)| MemberReport {
+        vm: vm.clone(),
+        phase: record.phase,
+        config_version: record.config_version,
+    });
+    let members: Vec<MemberReport> = members.collect();
+    let confirmed_share = membership.confirmed_share(now);
+    drop(membership);
+    StatusReply {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        ready: shared.is_ready(),
+        config_version,
+        running: shared.running(),
+        buckets: shared.buckets().len(),
+        confirmed_share,
+        members,
+        data_centres: data_centres(shared),
+        targets: serde_json::to_value(shared.pools.target_reports()).unwrap_or_default(),
+        peer_traffic: shared.peers.traffic(),
+        peer_wire_bytes: shared.peers.wire_bytes(),
+    }
+}
+
+fn data_centres(shared: &VmShared) -> Vec<DataCentreReport> {
+    let now = monotonic();
+    let settings = &shared.settings;
+    let others = settings.data_centres.iter().filter(|id| **id != settings.data_centre);
+    let report = |id: &crate::ids::DataCentreId| {
+        let out = shared.with_config(|config| config.is_out(id));
+        let fleet = shared.fleet();
+        let digest = fleet.digest(now, id);
+        DataCentreReport {
+            data_centre: id.clone(),
+            reachable: digest.is_some(),
+            out,
+            vms: digest.map_or(0, |digest| digest.vms.len()),
+            config_version: digest.map(|digest| digest.config_version),
+        }
+    };
+    others.map(report).collect()
+}
+
+/// VMs of this data centre and other data centres where `version` is not known to be in force.
+pub(crate) fn not_yet_in_force(shared: &VmShared, version: ConfigVersion) -> Vec<String> {
+    let status = status(shared);
+    let vms = status.members.into_iter().filter(|member| member.config_version < version);
+    let far = status.data_centres.into_iter().filter(|id| id.config_version < Some(version));
+    let far = far.map(|report| format!("data centre {}", report.data_centre));
+    vms.map(|member| format!("VM {}", member.vm)).chain(far).collect()
+}
+
+/// The configuration in force.
+pub(crate) fn config(shared: &VmShared) -> ConfigReply {
+    shared.with_config(|config| ConfigReply {
+        version: config.version,
+        workspaces: config.workspaces().cloned().collect(),
+        access: config.access().cloned().collect(),
+        keys: config
+            .keys()
+            .map(|(hash, workspace)| KeyEntry { hash: *hash, workspace: workspace.clone() })
+            .collect(),
+        data_centres_out: config.data_centres_out().cloned().collect(),
+    })
+}
--- /dev/null
+++ b/crates/ebonydock/src/peers/endpoint.rs
@@ -0,0 +1,248 @@
+//! The QUIC endpoint of a VM.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use quinn::{Connection, Endpoint};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::ids::VmId;
+use crate::peers::messages::{Envelope, PeerDatagram, PeerReply, PeerRequest};
+use crate::peers::tls::PEER_NAME;
+use crate::peers::{PeerError, TlsIdentity};
+
+const MESSAGE_LIMIT: usize = 32 * 1024 * 1024;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+const CANCELLED: quinn::VarInt = quinn::VarInt::from_u32(1);
+
+/// Receives the messages of other VMs.
+pub(crate) trait PeerEvents {
+    /// Handles a request. The future is dropped when the sender gives up.
+    fn handle(
+        self: Rc<Self>,
+        from: VmId,
+        request: PeerRequest,
+    ) -> LocalBoxFuture<'static, PeerReply>;
+    /// Takes a datagram.
+    fn datagram(&self, from: VmId, datagram: PeerDatagram);
+}
+
+#[derive(Debug, Default)]
+struct TrafficCounters {
+    messages: AtomicU64,
+    payload_bytes: AtomicU64,
+}
+
+struct PeerLink {
+    address: SocketAddr,
+    connection: Connection,
+}
+
+/// The running endpoint of a VM. Clones share it.
+#[derive(Clone)]
+pub(crate) struct PeerEndpoint {
+    vm: VmId,
+    endpoint: Endpoint,
+    links: Arc<Mutex<HashMap<VmId, PeerLink>>>,
+    connecting: Arc<tokio::sync::Mutex<()>>,
+    counters: Arc<TrafficCounters>,
+}
+
+impl PeerEndpoint {
+    /// Binds the endpoint. Must run inside the runtime that will drive it.
+    pub(crate) fn bind(
+        vm: &VmId,
+        address: SocketAddr,
+        identity: &TlsIdentity,
+    ) -> Result<Self, String> {
+        let mut endpoint = Endpoint::server(identity.server_config()?, address)
+            .map_err(|error| format!("cannot bind `{address}`: {error}"))?;
+        endpoint.set_default_client_config(identity.client_config()?);
+        Ok(Self {
+            vm: vm.clone(),
+            endpoint,
+            links: Arc::default(),
+            connecting: Arc::default(),
+            counters: Arc::default(),
+        })
+    }
+
+    /// The messages and payload bytes sent so far.
+    pub(crate) fn traffic(&self) -> (u64, u64) {
+        let messages = self.counters.messages.load(Ordering::Relaxed);
+        let bytes = self.counters.payload_bytes.load(Ordering::Relaxed);
+        (messages, bytes)
+    }
+
+    /// The UDP bytes sent and received so far on the open connections.
+    pub(crate) fn wire_bytes(&self) -> (u64, u64) {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.values().map(|link| link.connection.stats()).fold((0, 0), |total, stats| {
+            (total.0 + stats.udp_tx.bytes, total.1 + stats.udp_rx.bytes)
+        })
+    }
+
+    /// The address that the endpoint is bound to.
+    pub(crate) fn local_address(&self) -> Result<SocketAddr, String> {
+        self.endpoint.local_addr().map_err(|error| error.to_string())
+    }
+
+    /// Accepts connections until the endpoint is closed.
+    pub(crate) async fn serve(self, events: Rc<dyn PeerEvents>) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            let events = Rc::clone(&events);
+            ntex::rt::spawn(async move {
+                if let Ok(connection) = incoming.await {
+                    serve_connection(connection, events).await;
+                }
+            });
+        }
+    }
+
+    /// Sends a request and waits for the reply.
+    pub(crate) async fn request(
+        &self,
+        vm: &VmId,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let connection = self.connection(vm, address).await?;
+        let frame = self.encode(request);
+        match tokio::time::timeout(timeout, exchange(&connection, &frame)).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(reason)) => Err(PeerError::NoReply(reason)),
+            Err(_) => Err(PeerError::NoReply(format!("no reply within {timeout:?}"))),
+        }
+    }
+
+    /// Sends a datagram if a connection is open; opens one in the background otherwise.
+    pub(crate) fn send_datagram(&self, vm: &VmId, address: SocketAddr, datagram: PeerDatagram) {
+        if let Some(connection) = self.open_link(vm, address) {
+            let frame = self.encode(datagram);
+            let _ = connection.send_datagram(frame.into());
+            return;
+        }
+        let endpoint = self.clone();
+        let vm = vm.clone();
+        ntex::rt::spawn(async move {
+            if let Ok(connection) = endpoint.connection(&vm, address).await {
+                let frame = endpoint.encode(datagram);
+                let _ = connection.send_datagram(frame.into());
+            }
+        });
+    }
+
+    /// Closes the connection to a VM, which fails the requests that wait for it.
+    pub(crate) fn disconnect(&self, vm: &VmId) {
+        let link = self.links.lock().unwrap_or_else(PoisonError::into_inner).remove(vm);
+        if let Some(link) = link {
+            link.connection.close(CANCELLED, b"peer lost");
+        }
+    }
+
+    /// Closes every connection and stops accepting.
+    pub(crate) fn close(&self) {
+        self.endpoint.close(CANCELLED, b"stopped");
+    }
+
+    fn encode(&self, body: impl Serialize) -> Vec<u8> {
+        let frame = postcard::to_stdvec(&Envelope { from: self.vm.clone(), body });
+        let frame = frame.unwrap_or_else(|error| unreachable!("messages always encode: {error}"));
+        self.counters.messages.fetch_add(1, Ordering::Relaxed);
+        self.counters.payload_bytes.fetch_add(frame.len() as u64, Ordering::Relaxed);
+        frame
+    }
+
+    fn open_link(&self, vm: &VmId, address: SocketAddr) -> Option<Connection> {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = links.get(vm)?;
+        let usable = link.address == address && link.connection.close_reason().is_none();
+        usable.then(|| link.connection.clone())
+    }
+
+    async fn connection(&self, vm: &VmId, address: SocketAddr) -> Result<Connection, PeerError> {
+        if let Some(connection) = self.open_link(vm, address) {
+            return Ok(connection);
+        }
+        let connecting = self
+            .endpoint
+            .connect(address, PEER_NAME)
+            .map_err(|error| PeerError::NotConnected(error.to_string()))?;
+        let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| PeerError::NotConnected("connecting took too long".to_owned()))?
+            .map_err(|error| PeerError::NotConnected(error.to_string()))?;
+        // Of two concurrent connects the first one stays, so that no request loses its connection.
+        let _guard = self.connecting.lock().await;
+        if let Some(earlier) = self.open_link(vm, address) {
+            connection.close(CANCELLED, b"duplicate");
+            return Ok(earlier);
+        }
+        let link = PeerLink { address, connection: connection.clone() };
+        self.links.lock().unwrap_or_else(PoisonError::into_inner).insert(vm.clone(), link);
+        Ok(connection)
+    }
+}
+
+async fn exchange(connection: &Connection, frame: &[u8]) -> Result<PeerReply, String> {
+    let (mut send, mut receive) = connection.open_bi().await.map_err(|error| error.to_string())?;
+    send.write_all(frame).await.map_err(|error| error.to_string())?;
+    send.finish().map_err(|error| error.to_string())?;
+    let reply = receive.read_to_end(MESSAGE_LIMIT).await.map_err(|error| error.to_string())?;
+    decode(&reply)
+}
+
+fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, String> {
+    postcard::from_bytes(frame).map_err(|error| format!("unreadable message: {error}"))
+}
+
+async fn serve_connection(connection: Connection, events: Rc<dyn PeerEvents>) {
+    loop {
+        tokio::select! {
+            stream = connection.accept_bi() => {
+                let Ok((send, receive)) = stream else { return };
+                ntex::rt::spawn(serve_request(send, receive, Rc::clone(&events)));
+            }
+            datagram = connection.read_datagram() => {
+                let Ok(datagram) = datagram else { return };
+                match decode::<Envelope<PeerDatagram>>(&datagram) {
+                    Ok(envelope) => events.datagram(envelope.from, envelope.body),
+                    Err(error) => log::warn!("peers: Dropped a datagram: {error}."),
+                }
+            }
+        }
+    }
+}
+
+async fn serve_request(
+    mut send: quinn::SendStream,
+    mut receive: quinn::RecvStream,
+    events: Rc<dyn PeerEvents>,
+) {
+    let Ok(frame) = receive.read_to_end(MESSAGE_LIMIT).await else { return };
+    let envelope = match decode::<Envelope<PeerRequest>>(&frame) {
+        Ok(envelope) => envelope,
+        Err(error) => {
+            log::warn!("peers: Dropped a request: {error}.");
+            return;
+        }
+    };
+    let handler = events.handle(envelope.from, envelope.body);
+    let reply = tokio::select! {
+        reply = handler => reply,
+        // The sender gave up or is gone: dropping the handler cancels what it waits for.
+        _ = send.stopped() => return,
+    };
+    if let Ok(frame) = postcard::to_stdvec(&reply)
+        && send.write_all(&frame).await.is_ok()
+    {
+        let _ = send.finish();
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/platform/http.rs
@@ -0,0 +1,137 @@
+//! The platform's services over HTTP with JSON bodies.
+
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use ntex::client::{Client, ClientResponse};
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+
+use crate::ids::{ObjectName, RowKey};
+use crate::platform::{
+    FleetListing, ObjectStore, PlatformError, PlatformResult, TableRow, TableStore,
+    TableTransaction, VmList,
+};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+
+/// A client of the platform's services.
+pub struct PlatformClient {
+    client: Client,
+    base: String,
+}
+
+impl PlatformClient {
+    /// Opens a client for the services at `address`, `host:port`.
+    pub async fn open(address: &str) -> Self {
+        Self { client: http_client(CALL_TIMEOUT).await, base: format!("http://{address}") }
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.base)
+    }
+}
+
+/// An HTTP client whose requests are answered or fail within `timeout`.
+pub(crate) async fn http_client(timeout: Duration) -> Client {
+    Client::builder()
+        .response_timeout(ntex::time::Millis(timeout.as_millis() as u32))
+        .disable_redirects()
+        .no_default_headers()
+        .response_payload_limit(BODY_LIMIT)
+        .response_payload_timeout(ntex::time::Millis(timeout.as_millis() as u32))
+        .build(ntex::SharedCfg::default())
+        .await
+        .unwrap_or_else(|error| unreachable!("a plain connector always builds: {error}"))
+}
+
+fn unavailable(error: impl std::fmt::Display) -> PlatformError {
+    PlatformError::Unavailable(error.to_string())
+}
+
+async fn checked(response: ClientResponse) -> PlatformResult<Bytes> {
+    let status = response.status();
+    let body = response.body().await.map_err(unavailable)?;
+    if status.is_success() {
+        return Ok(body);
+    }
+    let text = String::from_utf8_lossy(&body).into_owned();
+    match status {
+        StatusCode::CONFLICT => Err(PlatformError::Conflict(RowKey::from(text))),
+        _ if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS => {
+            Err(PlatformError::Refused(text))
+        }
+        _ => Err(PlatformError::Unavailable(text)),
+    }
+}
+
+fn parsed<T: serde::de::DeserializeOwned>(body: &Bytes) -> PlatformResult<T> {
+    serde_json::from_slice(body).map_err(unavailable)
+}
+
+impl TableStore for PlatformClient {
+    fn read<'a>(&'a self, key: &'a RowKey) -> LocalBoxFuture<'a, PlatformResult<Option<TableRow>>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url("/table/row")).query(&[("key", key.as_str())]);
+            let request = request.map_err(unavailable)?;
+            parsed(&checked(request.send().await.map_err(unavailable)?).await?)
+        })
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, PlatformResult<Vec<TableRow>>> {
+        Box::pin(async move {
+            let limit = limit.to_string();
+            let query = [("prefix", prefix), ("after", after), ("limit", limit.as_str())];
+            let request = self.client.get(self.url("/table/rows")).query(&query);
+            let request = request.map_err(unavailable)?;
+            parsed(&checked(request.send().await.map_err(unavailable)?).await?)
+        })
+    }
+
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a TableTransaction,
+    ) -> LocalBoxFuture<'a, PlatformResult<u64>> {
+        Box::pin(async move {
+            let request = self.client.post(self.url("/table/transact"));
+            let response = request.send_json(transaction).await.map_err(unavailable)?;
+            parsed(&checked(response).await?)
+        })
+    }
+}
+
+impl ObjectStore for PlatformClient {
+    fn put<'a>(
+        &'a self,
+        name: &'a ObjectName,
+        body: Bytes,
+    ) -> LocalBoxFuture<'a, PlatformResult<()>> {
+        Box::pin(async move {
+            let request = self.client.put(self.url(&format!("/objects/{name}")));
+            let response = request.send_body(body).await.map_err(unavailable)?;
+            checked(response).await.map(|_| ())
+        })
+    }
+
+    fn get<'a>(&'a self, name: &'a ObjectName) -> LocalBoxFuture<'a, PlatformResult<Bytes>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url(&format!("/objects/{name}")));
+            checked(request.send().await.map_err(unavailable)?).await
+        })
+    }
+}
+
+impl VmList for PlatformClient {
+    fn fetch(&self) -> LocalBoxFuture<'_, PlatformResult<FleetListing>> {
+        Box::pin(async move {
+            let request = self.client.get(self.url("/fleet"));
+            parsed(&checked(request.send().await.map_err(unavailable)?).await?)
+        })
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/routing/mod.rs
@@ -0,0 +1,13 @@
+//! Where a request goes: data centre, pool and target, retries and resumption.
+
+mod acquire;
+mod order;
+mod retry_budget;
+mod session;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use acquire::{acquire_locally, pool_key, send_in_background, send_revokes};
+pub use order::{DataCentreLoad, rank_data_centres};
+pub use retry_budget::RetryBudget;
+pub(crate) use session::{AnswerError, AnswerRequest, AnswerSession};
--- /dev/null
+++ b/crates/ebonydock/src/scheduling/pools.rs
@@ -0,0 +1,263 @@
+//! The pools that a VM schedules, with the requests that wait for them.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+
+use crate::ids::{LeaseId, ModelName, TargetId, VmId};
+use crate::membership::messages::PoolSummary;
+use crate::scheduling::messages::{
+    AcquireRefusal, AcquireReply, AcquireRequest, HeldRecord, LeaseOutcome, ReleaseReport,
+    StartReport,
+};
+use crate::scheduling::{CacheReport, Decision, PoolPolicy, PoolScheduler, WaiterId};
+
+/// A batch lease to take back from its holder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct PendingRevoke {
+    /// The lease.
+    pub(crate) lease: LeaseId,
+    /// Who holds it.
+    pub(crate) holder: VmId,
+}
+
+/// A target of a pool as operators see it.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(crate) struct TargetReport {
+    model: ModelName,
+    target: TargetId,
+    address: String,
+    warm: bool,
+    leaving: bool,
+    in_flight: u32,
+    capacity: u32,
+}
+
+struct PoolEntry {
+    scheduler: PoolScheduler,
+    waiters: HashMap<WaiterId, oneshot::Sender<AcquireReply>>,
+    next_waiter: u64,
+}
+
+/// The pools that a VM schedules.
+pub(crate) struct PoolDirectory {
+    policy: PoolPolicy,
+    pools: Mutex<HashMap<ModelName, PoolEntry>>,
+}
+
+/// A request that waits in a local pool; dropping it cancels the request.
+pub(crate) struct PendingAcquire<'a> {
+    directory: &'a PoolDirectory,
+    model: ModelName,
+    waiter: WaiterId,
+    reply: oneshot::Receiver<AcquireReply>,
+    answered: bool,
+}
+
+impl PendingAcquire<'_> {
+    /// Waits for the answer.
+    pub(crate) async fn wait(mut self) -> AcquireReply {
+        let reply = (&mut self.reply).await;
+        self.answered = true;
+        reply.unwrap_or(AcquireReply::Refused(AcquireRefusal::NotOwner))
+    }
+}
+
+impl Drop for PendingAcquire<'_> {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let mut pools = self.directory.lock();
+        if let Some(pool) = pools.get_mut(&self.model) {
+            pool.waiters.remove(&self.waiter);
+            pool.scheduler.cancel(self.waiter);
+        }
+    }
+}
+
+impl PoolDirectory {
+    /// A directory without pools.
+    pub(crate) fn open(policy: PoolPolicy) -> Self {
+        Self { policy, pools: Mutex::default() }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<ModelName, PoolEntry>> {
+        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The models whose pools this VM schedules.
+    pub(crate) fn models(&self) -> Vec<ModelName> {
+        self.lock().keys().cloned().collect()
+    }
+
+    /// Takes a pool over unless this VM has it. Returns whether it is new.
+    pub(crate) fn take_over(&self, now: Duration, model: &ModelName, members: Vec<VmId>) -> bool {
+        let mut pools = self.lock();
+        if pools.contains_key(model) {
+            return false;
+        }
+        let first_lease = rand::random::<u64>() & !u64::from(u32::MAX);
+        let scheduler = PoolScheduler::open(self.policy, first_lease, members, now);
+        let entry = PoolEntry { scheduler, waiters: HashMap::new(), next_waiter: 0 };
+        pools.insert(model.clone(), entry);
+        true
+    }
+
+    /// Drops the pools that `still_owned` denies; what waits there is told to ask the new owner.
+    pub(crate) fn retain(&self, still_owned: impl Fn(&ModelName) -> bool) {
+        self.lock().retain(|model, _| still_owned(model));
+    }
+
+    /// Starts to wait for a lease.
+    pub(crate) fn acquire(
+        &self,
+        now: Duration,
+        holder: &VmId,
+        request: AcquireRequest,
+    ) -> (Option<PendingAcquire<'_>>, Vec<PendingRevoke>) {
+        let model = request.model.clone();
+        let mut pools = self.lock();
+        let Some(pool) = pools.get_mut(&model) else { return (None, Vec::new()) };
+        let waiter = WaiterId(pool.next_waiter);
+        pool.next_waiter += 1;
+        let (sender, reply) = oneshot::channel();
+        pool.waiters.insert(waiter, sender);
+        let decisions = pool.scheduler.acquire(now, holder, waiter, request);
+        let revokes = pool.deliver(now, &model, decisions);
+        drop(pools);
+        let pending = PendingAcquire { directory: self, model, waiter, reply, answered: false };
+        (Some(pending), revokes)
+    }
+
+    /// Takes the start of an answer.
+    pub(crate) fn started(&self, now: Duration, report: &StartReport) -> Vec<PendingRevoke> {
+        self.act(now, &report.model, |scheduler| scheduler.started(now, report))
+    }
+
+    /// Takes a lease back.
+    pub(crate) fn release(&self, now: Duration, report: &ReleaseReport) -> Vec<PendingRevoke> {
+        self.act(now, &report.model, |scheduler| scheduler.release(now, report))
+    }
+
+    /// Takes a VM's listing of its leases.
+    pub(crate) fn reconcile(
+        &self,
+        now: Duration,
+        model: &ModelName,
+        holder: &VmId,
+        held: &[HeldRecord],
+    ) -> Vec<PendingRevoke> {
+        self.act(now, model, |scheduler| scheduler.reconcile(now, holder, held))
+    }
+
+    /// Lets time pass in every pool.
+    pub(crate) fn tick(&self, now: Duration, out: bool) -> Vec<PendingRevoke> {
+        let tick = |scheduler: &mut PoolScheduler| {
+            scheduler.set_out(out);
+            scheduler.tick(now)
+        };
+        self.models().iter().flat_map(|model| self.act(now, model, tick)).collect()
+    }
+
+    /// Notes that a VM was lost.
+    pub(crate) fn lose_holder(&self, now: Duration, holder: &VmId) {
+        for pool in self.lock().values_mut() {
+            pool.scheduler.lose_holder(now, holder);
+        }
+    }
+
+    /// Changes the state of a pool without a decision.
+    pub(crate) fn update<T>(
+        &self,
+        model: &ModelName,
+        update: impl FnOnce(&mut PoolScheduler) -> T,
+    ) -> Option<T> {
+        self.lock().get_mut(model).map(|pool| update(&mut pool.scheduler))
+    }
+
+    /// Takes a target's report of its cache. Returns whether a full listing is needed.
+    pub(crate) fn note_cache(
+        &self,
+        model: &ModelName,
+        target: &TargetId,
+        report: CacheReport,
+    ) -> bool {
+        self.update(model, |scheduler| scheduler.note_cache(target, report)).unwrap_or(false)
+    }
+
+    /// The load of every pool.
+    pub(crate) fn summaries(&self) -> Vec<PoolSummary> {
+        let pools = self.lock();
+        let summary = |(model, pool): (&ModelName, &PoolEntry)| PoolSummary {
+            model: model.clone(),
+            free: pool.scheduler.free(),
+            waiting: pool.scheduler.waiting().0 as u32,
+        };
+        pools.iter().map(summary).collect()
+    }
+
+    /// The targets of every pool.
+    pub(crate) fn target_reports(&self) -> Vec<TargetReport> {
+        let pools = self.lock();
+        let report = |model: &ModelName, state: &crate::scheduling::TargetState| TargetReport {
+            model: model.clone(),
+            target: state.target.clone(),
+            address: state.address.clone(),
+            warm: state.warmth == crate::scheduling::TargetWarmth::Warm,
+            leaving: state.leaving,
+            in_flight: state.in_flight,
+            capacity: state.nominal_capacity(),
+        };
+        let reports = pools.iter().flat_map(|(model, pool)| {
+            pool.scheduler.targets().map(move |state| report(model, state))
+        });
+        reports.collect()
+    }
+
+    fn act(
+        &self,
+        now: Duration,
+        model: &ModelName,
+        decide: impl FnOnce(&mut PoolScheduler) -> Vec<Decision>,
+    ) -> Vec<PendingRevoke> {
+        let mut pools = self.lock();
+        let Some(pool) = pools.get_mut(model) else { return Vec::new() };
+        let decisions = decide(&mut pool.scheduler);
+        pool.deliver(now, model, decisions)
+    }
+}
+
+impl PoolEntry {
+    /// Answers waiters. A lease whose waiter is gone is returned at once, which may decide more.
+    fn deliver(
+        &mut self,
+        now: Duration,
+        model: &ModelName,
+        mut decisions: Vec<Decision>,
+    ) -> Vec<PendingRevoke> {
+        let mut revokes = Vec::new();
+        while let Some(decision) = decisions.pop() {
+            match decision {
+                Decision::Revoke(lease, holder) => revokes.push(PendingRevoke { lease, holder }),
+                Decision::Refuse(waiter, refusal) => {
+                    if let Some(sender) = self.waiters.remove(&waiter) {
+                        let _ = sender.send(AcquireReply::Refused(refusal));
+                    }
+                }
+                Decision::Grant(waiter, grant) => {
+                    let lease = grant.lease;
+                    let sender = self.waiters.remove(&waiter);
+                    let taken = sender.map(|s| s.send(AcquireReply::Granted(grant)).is_ok());
+                    if taken != Some(true) {
+                        let report = ReleaseReport::unused(model, lease, LeaseOutcome::Cancelled);
+                        decisions.extend(self.scheduler.release(now, &report));
+                    }
+                }
+            }
+        }
+        revokes
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/scheduling/prefix_index.rs
@@ -0,0 +1,143 @@
+//! Which targets probably hold which prompt prefix in their cache.
+//!
+//! The index holds what this scheduler placed itself; cache events correct it. Events come late and with
+//! gaps: a gap replaces the listing of the target, a restart empties it.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::ids::TargetId;
+
+/// The most prefixes remembered for one target, oldest dropped first.
+const PREFIXES_PER_TARGET: usize = 256;
+
+#[derive(Debug, Default)]
+struct TargetPrefixes {
+    order: VecDeque<u64>,
+    next_event: u64,
+}
+
+/// What a target reports of its cache.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CacheReport {
+    /// Prefixes stored and evicted since `first_event`, consecutively numbered.
+    Events {
+        /// The number of the first event.
+        first_event: u64,
+        /// Prefixes, `true` if stored and `false` if evicted.
+        events: Vec<(u64, bool)>,
+    },
+    /// Everything that the target holds, up to and without `next_event`.
+    Listing {
+        /// The number of the next event.
+        next_event: u64,
+        /// The prefixes.
+        prefixes: Vec<u64>,
+    },
+}
+
+/// Which targets probably hold which prompt prefix in their cache.
+#[derive(Debug, Default)]
+pub struct PrefixIndex {
+    holders: HashMap<u64, Vec<TargetId>>,
+    targets: HashMap<TargetId, TargetPrefixes>,
+}
+
+impl PrefixIndex {
+    /// The targets that probably hold a prefix, the newest first.
+    pub fn holders(&self, prefix: u64) -> impl Iterator<Item = &TargetId> {
+        self.holders.get(&prefix).into_iter().flatten().rev()
+    }
+
+    /// The number of prefixes known.
+    pub fn len(&self) -> usize {
+        self.holders.len()
+    }
+
+    /// Whether no prefix is known.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+
+    /// Notes that a request with this prefix was placed on a target.
+    pub fn insert(&mut self, target: &TargetId, prefix: u64) {
+        let holders = self.holders.entry(prefix).or_default();
+        if holders.contains(target) {
+            return;
+        }
+        holders.push(target.clone());
+        let prefixes = self.targets.entry(target.clone()).or_default();
+        prefixes.order.push_back(prefix);
+        if prefixes.order.len() > PREFIXES_PER_TARGET
+            && let Some(oldest) = prefixes.order.pop_front()
+        {
+            self.forget(target, oldest);
+        }
+    }
+
+    /// Forgets everything about a target.
+    pub fn clear(&mut self, target: &TargetId) {
+        let Some(prefixes) = self.targets.remove(target) else { return };
+        for prefix in prefixes.order {
+            self.forget(target, prefix);
+        }
+    }
+
+    /// The number of the next event of a target.
+    pub fn position(&self, target: &TargetId) -> u64 {
+        self.targets.get(target).map_or(0, |prefixes| prefixes.next_event)
+    }
+
+    /// Takes a report. Returns `false` after a gap, when a listing is needed.
+    pub fn apply(&mut self, target: &TargetId, report: CacheReport) -> bool {
+        match report {
+            CacheReport::Listing { next_event, prefixes } => {
+                self.clear(target);
+                for prefix in prefixes {
+                    self.insert(target, prefix);
+                }
+                self.targets.entry(target.clone()).or_default().next_event = next_event;
+                true
+            }
+            CacheReport::Events { first_event, events } => {
+                let known = self.targets.entry(target.clone()).or_default().next_event;
+                if first_event > known {
+                    return false;
+                }
+                self.apply_events(target, known, first_event, events);
+                true
+            }
+        }
+    }
+
+    fn apply_events(
+        &mut self,
+        target: &TargetId,
+        known: u64,
+        first_event: u64,
+        events: Vec<(u64, bool)>,
+    ) {
+        let end = first_event + events.len() as u64;
+        let skip = known.saturating_sub(first_event) as usize;
+        for (prefix, stored) in events.into_iter().skip(skip) {
+            if stored {
+                self.insert(target, prefix);
+                continue;
+            }
+            self.forget(target, prefix);
+            if let Some(prefixes) = self.targets.get_mut(target) {
+                prefixes.order.retain(|held| *held != prefix);
+            }
+        }
+        if let Some(prefixes) = self.targets.get_mut(target) {
+            prefixes.next_event = prefixes.next_event.max(end);
+        }
+    }
+
+    fn forget(&mut self, target: &TargetId, prefix: u64) {
+        let Some(holders) = self.holders.get_mut(&prefix) else { return };
+        holders.retain(|holder| holder != target);
+        if holders.is_empty() {
+            self.holders.remove(&prefix);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/scheduling/scheduler.rs
@@ -0,0 +1,624 @@
+//! The scheduler of one pool, free of I/O.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+use crate::ids::{LeaseId, TargetId, VmId, WorkspaceId};
+use crate::platform::TargetEntry;
+use crate::scheduling::messages::{
+    AcquireRefusal, AcquireRequest, HeldRecord, LeaseGrant, LeaseOutcome, ReleaseReport,
+    RequestDemand, StartReport,
+};
+use crate::scheduling::{
+    AffinityPolicy, CacheReport, FairQueue, PrefixIndex, QueuePlace, RequestClass,
+    ReserveEstimator, TargetState, TargetWarmth, WorkspaceLoad, YieldPolicy,
+};
+
+/// The least loaded targets that are looked at for one request.
+const TARGET_SCAN: usize = 8;
+/// The most requests of one class that wait.
+const QUEUE_LIMIT: usize = 20_000;
+/// Leases of a lost VM are kept for this long, because it may only be cut off.
+const LOST_HOLDER_GRACE: Duration = Duration::from_secs(3);
+/// A lease younger than this is not missed in a holder's listing, which may have crossed its grant.
+const LISTING_GRACE: Duration = Duration::from_secs(2);
+/// After a takeover targets in cold start get nothing for at most this long.
+const REBUILD_LIMIT: Duration = Duration::from_secs(5);
+const AFFINITY_BOUND: f64 = 1.25;
+const WAIT_RATIO_THRESHOLD: f64 = 1.0;
+const ANSWER_WEIGHT: f64 = 2.0;
+
+/// A request that waits, named by the caller of the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaiterId(pub u64);
+
+/// How a pool is scheduled.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolPolicy {
+    /// How batch work yields to online requests.
+    pub yielding: YieldPolicy,
+    /// How prefix caches are weighed against load.
+    pub affinity: AffinityPolicy,
+}
+
+/// What the scheduler decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The request gets a lease.
+    Grant(WaiterId, LeaseGrant),
+    /// The request gets none.
+    Refuse(WaiterId, AcquireRefusal),
+    /// The holder has to give a batch lease back.
+    Revoke(LeaseId, VmId),
+}
+
+#[derive(Debug)]
+struct Waiter {
+    id: WaiterId,
+    holder: VmId,
+    demand: RequestDemand,
+    excluded: Vec<TargetId>,
+}
+
+#[derive(Debug)]
+struct WaitPlace {
+    queue: RequestClass,
+    place: QueuePlace,
+    deadline: Duration,
+}
+
+#[derive(Debug)]
+struct LeaseRecord {
+    target: TargetId,
+    holder: VmId,
+    demand: RequestDemand,
+    granted_at: Duration,
+    charged: f64,
+    revoked: bool,
+}
+
+/// What a target contributes to the sums over the pool.
+#[derive(Clone, Copy, Debug)]
+struct LoadEntry {
+    load: u32,
+    capacity: u32,
+    in_flight: u32,
+}
+
+/// The scheduler of one pool.
+#[derive(Debug)]
+pub struct PoolScheduler {
+    policy: PoolPolicy,
+    targets: HashMap<TargetId, TargetState>,
+    by_load: BTreeSet<(u32, TargetId)>,
+    indexed: HashMap<TargetId, LoadEntry>,
+    capacity: u32,
+    in_flight: u32,
+    largest_context: u32,
+    online: FairQueue<Waiter>,
+    batch: FairQueue<Waiter>,
+    places: HashMap<WaiterId, WaitPlace>,
+    deadlines: BTreeSet<(Duration, WaiterId)>,
+    leases: HashMap<LeaseId, LeaseRecord>,
+    batch_leases: BTreeSet<LeaseId>,
+    revoking: u32,
+    prefixes: PrefixIndex,
+    reserve: ReserveEstimator,
+    next_lease: u64,
+    unreported: HashSet<VmId>,
+    rebuild_until: Duration,
+    lost_holders: BTreeMap<VmId, Duration>,
+    out: bool,
+}
+
+impl PoolScheduler {
+    /// A scheduler that takes the pool over. `members` are the VMs that may hold leases of a
+    /// predecessor; lease ids start at `first_lease`, which differs after each start of a VM.
+    pub fn open(policy: PoolPolicy, first_lease: u64, members: Vec<VmId>, now: Duration) -> Self {
+        Self {
+            policy,
+            targets: HashMap::new(),
+            by_load: BTreeSet::new(),
+            indexed: HashMap::new(),
+            capacity: 0,
+            in_flight: 0,
+            largest_context: 0,
+            online: FairQueue::default(),
+            batch: FairQueue::default(),
+            places: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            leases: HashMap::new(),
+            batch_leases: BTreeSet::new(),
+            revoking: 0,
+            prefixes: PrefixIndex::default(),
+            reserve: ReserveEstimator::default(),
+            next_lease: first_lease,
+            unreported: members.into_iter().collect(),
+            rebuild_until: now + REBUILD_LIMIT,
+            lost_holders: BTreeMap::new(),
+            out: false,
+        }
+    }
+
+    /// Replaces the targets of the pool.
+    pub fn set_targets(&mut self, now: Duration, entries: &[TargetEntry]) {
+        let listed: HashSet<&TargetId> = entries.iter().map(|entry| &entry.target).collect();
+        let gone: Vec<TargetId> =
+            self.targets.keys().filter(|target| !listed.contains(target)).cloned().collect();
+        for target in gone {
+            self.targets.remove(&target);
+            self.prefixes.clear(&target);
+            self.reindex(now, &target);
+        }
+        for entry in entries {
+            match self.targets.get_mut(&entry.target) {
+                Some(state) => state.update(entry),
+                None => {
+                    if let Some(state) = TargetState::open(entry, now) {
+                        self.targets.insert(entry.target.clone(), state);
+                    }
+                }
+            }
+            self.reindex(now, &entry.target);
+        }
+        let contexts = self.targets.values().filter(|state| !state.leaving);
+        self.largest_context =
+            contexts.map(|state| state.capability.context_tokens).max().unwrap_or(0);
+    }
+
+    /// Takes the data centre out of service or back in.
+    pub fn set_out(&mut self, out: bool) {
+        self.out = out;
+    }
+
+    /// The targets.
+    pub fn targets(&self) -> impl Iterator<Item = &TargetState> {
+        self.targets.values()
+    }
+
+    /// The leases given.
+    pub fn leases(&self) -> usize {
+        self.leases.len()
+    }
+
+    /// Requests that wait, online and batch.
+    pub fn waiting(&self) -> (usize, usize) {
+        (self.online.len(), self.batch.len())
+    }
+
+    /// Sequences that could start now.
+    pub fn free(&self) -> u32 {
+        if self.out { 0 } else { self.capacity.saturating_sub(self.in_flight) }
+    }
+
+    /// Whether the pool or a predecessor's leases are unknown to some extent.
+    pub fn is_rebuilding(&self, now: Duration) -> bool {
+        !self.unreported.is_empty() && now < self.rebuild_until
+    }
+
+    /// Takes a request. It is answered by a [`Decision`], now or later.
+    pub fn acquire(
+        &mut self,
+        now: Duration,
+        holder: &VmId,
+        id: WaiterId,
+        request: AcquireRequest,
+    ) -> Vec<Decision> {
+        let class = request.demand.class;
+        if class == RequestClass::Online {
+            self.reserve.arrival(now);
+        }
+        if let Some(refusal) = self.refuse_at_once(&request) {
+            return vec![Decision::Refuse(id, refusal)];
+        }
+        let (queue, workspace, order) = self.queue_key(&request.demand);
+        let deadline = now + Duration::from_millis(request.wait_ms.into());
+        let waiter = Waiter {
+            id,
+            holder: holder.clone(),
+            demand: request.demand,
+            excluded: request.excluded,
+        };
+        let place = self.queue(queue).push(&workspace, order, waiter);
+        self.places.insert(id, WaitPlace { queue, place, deadline });
+        self.deadlines.insert((deadline, id));
+        self.dispatch(now)
+    }
+
+    /// Forgets a request whose sender gave up.
+    pub fn cancel(&mut self, id: WaiterId) {
+        let Some(wait) = self.places.remove(&id) else { return };
+        self.deadlines.remove(&(wait.deadline, id));
+        self.queue(wait.queue).remove(&wait.place);
+    }
+
+    /// Takes the start of an answer.
+    pub fn started(&mut self, now: Duration, report: &StartReport) -> Vec<Decision> {
+        let Some(lease) = self.leases.get(&report.lease) else { return Vec::new() };
+        let target = lease.target.clone();
+        self.confirm_start(now, &target, report.start_id);
+        self.reindex(now, &target);
+        self.dispatch(now)
+    }
+
+    /// Takes a lease back.
+    pub fn release(&mut self, now: Duration, report: &ReleaseReport) -> Vec<Decision> {
+        let Some(lease) = self.remove_lease(report.lease) else { return Vec::new() };
+        let target = lease.target.clone();
+        let actual =
+            f64::from(lease.demand.prompt_tokens) + ANSWER_WEIGHT * f64::from(report.tokens);
+        self.settle(&lease, actual - lease.charged);
+        self.confirm_start(now, &target, report.start_id);
+        if let Some(state) = self.targets.get_mut(&target) {
+            match report.outcome {
+                LeaseOutcome::Completed => state.note_completed(now, report.token_micros),
+                LeaseOutcome::Cancelled => {}
+                LeaseOutcome::TargetFailed => state.note_failed(now),
+                LeaseOutcome::Overloaded => state.note_overloaded(now),
+            }
+        }
+        self.reindex(now, &target);
+        self.dispatch(now)
+    }
+
+    /// Takes a target's own report of its state, which lags.
+    pub fn note_status(&mut self, now: Duration, target: &TargetId, start_id: u64, warm: bool) {
+        if let Some(state) = self.targets.get_mut(target) {
+            state.note_status(start_id, warm);
+        }
+        self.reindex(now, target);
+    }
+
+    /// Takes a target's report of its cache. Returns whether a full listing is needed.
+    pub fn note_cache(&mut self, target: &TargetId, report: CacheReport) -> bool {
+        self.targets.contains_key(target) && !self.prefixes.apply(target, report)
+    }
+
+    /// The number of the next cache event of a target.
+    pub fn cache_position(&self, target: &TargetId) -> u64 {
+        self.prefixes.position(target)
+    }
+
+    /// Takes a VM's listing of the leases it holds: adopts unknown ones, which a predecessor gave, and
+    /// drops leases that the VM does not hold any more.
+    pub fn reconcile(
+        &mut self,
+        now: Duration,
+        holder: &VmId,
+        held: &[HeldRecord],
+    ) -> Vec<Decision> {
+        self.unreported.remove(holder);
+        self.lost_holders.remove(holder);
+        for record in held {
+            self.adopt(now, holder, record);
+        }
+        let listed: HashSet<LeaseId> = held.iter().map(|record| record.lease).collect();
+        let missing = |(id, lease): (&LeaseId, &LeaseRecord)| {
+            let settled = now.saturating_sub(lease.granted_at) >= LISTING_GRACE;
+            (lease.holder == *holder && settled && !listed.contains(id)).then_some(*id)
+        };
+        let missing: Vec<LeaseId> = self.leases.iter().filter_map(missing).collect();
+        self.drop_leases(now, &missing);
+        self.dispatch(now)
+    }
+
+    /// Notes that a VM was lost.
+    pub fn lose_holder(&mut self, now: Duration, holder: &VmId) {
+        self.unreported.remove(holder);
+        self.lost_holders.insert(holder.clone(), now + LOST_HOLDER_GRACE);
+    }
+
+    /// Refuses what waited too long, drops leases of lost VMs, and gives what has become free.
+    pub fn tick(&mut self, now: Duration) -> Vec<Decision> {
+        let mut decisions = self.expire_waiters(now);
+        self.expire_holders(now);
+        let targets: Vec<TargetId> = self.targets.keys().cloned().collect();
+        for target in targets {
+            self.reindex(now, &target);
+        }
+        self.online.prune();
+        self.batch.prune();
+        decisions.extend(self.dispatch(now));
+        decisions
+    }
+
+    fn refuse_at_once(&self, request: &AcquireRequest) -> Option<AcquireRefusal> {
+        if self.out {
+            return Some(AcquireRefusal::DataCentreOut);
+        }
+        if !self.is_servable(request) {
+            return Some(AcquireRefusal::NoCapableTarget);
+        }
+        let waiting = match request.demand.class {
+            RequestClass::Online => self.online.len(),
+            RequestClass::Batch => self.batch.len(),
+        };
+        (waiting >= QUEUE_LIMIT).then_some(AcquireRefusal::Busy)
+    }
+
+    /// First come, first served means one queue with one line.
+    fn queue_key(&self, demand: &RequestDemand) -> (RequestClass, WorkspaceId, i64) {
+        if self.policy.yielding == YieldPolicy::None {
+            return (RequestClass::Online, WorkspaceId::from(""), 0);
+        }
+        (demand.class, demand.workspace.clone(), demand.order)
+    }
+
+    fn queue(&mut self, class: RequestClass) -> &mut FairQueue<Waiter> {
+        match class {
+            RequestClass::Online => &mut self.online,
+            RequestClass::Batch => &mut self.batch,
+        }
+    }
+
+    fn is_servable(&self, request: &AcquireRequest) -> bool {
+        if request.excluded.is_empty() {
+            return request.demand.cache_tokens() <= self.largest_context;
+        }
+        let mut states = self.targets.values();
+        states.any(|state| {
+            state.can_serve(&request.demand) && !request.excluded.contains(&state.target)
+        })
+    }
+
+    fn dispatch(&mut self, now: Duration) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        if self.out {
+            self.revoke(self.batch_leases.len(), &mut decisions);
+            return decisions;
+        }
+        while self.dispatch_one(now, RequestClass::Online, &mut decisions) {}
+        if self.policy.yielding == YieldPolicy::Revoke {
+            self.revoke(self.online.len(), &mut decisions);
+        }
+        if self.batch.is_empty() || !self.online.is_empty() {
+            return decisions;
+        }
+        let capacity = self.capacity;
+        let reserve = match self.policy.yielding {
+            YieldPolicy::None => 0,
+            YieldPolicy::StaticReserve => capacity.div_ceil(4),
+            YieldPolicy::Revoke => self.reserve.reserve(now, capacity),
+        };
+        let mut free = capacity.saturating_sub(self.in_flight);
+        while free > reserve && self.dispatch_one(now, RequestClass::Batch, &mut decisions) {
+            free -= 1;
+        }
+        decisions
+    }
+
+    fn dispatch_one(
+        &mut self,
+        now: Duration,
+        class: RequestClass,
+        decisions: &mut Vec<Decision>,
+    ) -> bool {
+        let mut queue = std::mem::take(self.queue(class));
+        let popped = queue.pop_with(|waiter, load| self.choose(now, waiter, load));
+        *self.queue(class) = queue;
+        let Some((waiter, target)) = popped else { return false };
+        if let Some(wait) = self.places.remove(&waiter.id) {
+            self.deadlines.remove(&(wait.deadline, waiter.id));
+        }
+        decisions.push(self.grant(now, waiter, &target));
+        true
+    }
+
+    fn grant(&mut self, now: Duration, waiter: Waiter, target: &TargetId) -> Decision {
+        let lease = LeaseId(self.next_lease);
+        self.next_lease += 1;
+        let demand = &waiter.demand;
+        let charged =
+            f64::from(demand.prompt_tokens) + ANSWER_WEIGHT * f64::from(demand.answer_tokens) / 2.0;
+        let grant = self.start_on(now, target, lease, demand);
+        if let Some(prefix) = demand.prefix {
+            self.prefixes.insert(target, prefix);
+        }
+        let record = LeaseRecord {
+            target: target.clone(),
+            holder: waiter.holder,
+            demand: waiter.demand,
+            granted_at: now,
+            charged,
+            revoked: false,
+        };
+        self.insert_lease(lease, record);
+        Decision::Grant(waiter.id, grant)
+    }
+
+    fn start_on(
+        &mut self,
+        now: Duration,
+        target: &TargetId,
+        lease: LeaseId,
+        demand: &RequestDemand,
+    ) -> LeaseGrant {
+        let state = self.targets.get_mut(target);
+        let grant = LeaseGrant {
+            lease,
+            target: target.clone(),
+            address: state.as_ref().map(|state| state.address.clone()).unwrap_or_default(),
+            start_id: state.as_ref().map_or(0, |state| state.start_id),
+            probe: state.as_ref().is_some_and(|state| state.wants_probe(now)),
+        };
+        if let Some(state) = state {
+            state.start(demand);
+        }
+        self.reindex(now, target);
+        grant
+    }
+
+    fn insert_lease(&mut self, id: LeaseId, record: LeaseRecord) {
+        let (class, workspace, _) = self.queue_key(&record.demand);
+        let weight = f64::from(record.demand.weight);
+        let charged = record.charged;
+        if record.demand.class == RequestClass::Batch {
+            self.batch_leases.insert(id);
+        }
+        self.leases.insert(id, record);
+        self.queue(class).start(&workspace, charged, weight);
+    }
+
+    fn remove_lease(&mut self, id: LeaseId) -> Option<LeaseRecord> {
+        let lease = self.leases.remove(&id)?;
+        self.batch_leases.remove(&id);
+        if lease.revoked {
+            self.revoking = self.revoking.saturating_sub(1);
+        }
+        if let Some(state) = self.targets.get_mut(&lease.target) {
+            state.finish(&lease.demand);
+        }
+        Some(lease)
+    }
+
+    fn settle(&mut self, lease: &LeaseRecord, correction: f64) {
+        let (class, workspace, _) = self.queue_key(&lease.demand);
+        self.queue(class).finish(&workspace, correction, f64::from(lease.demand.weight));
+    }
+
+    /// The target for a request, or `None` if it has to wait.
+    fn choose(&self, now: Duration, waiter: &Waiter, load: WorkspaceLoad) -> Option<TargetId> {
+        let holder = self.prefix_holder(now, waiter);
+        match self.policy.affinity {
+            AffinityPolicy::None => self.least_loaded(now, waiter),
+            AffinityPolicy::BoundedLoad => {
+                let near = holder.filter(|state| self.is_within_bound(now, waiter, state));
+                let near = near.map(|state| state.target.clone());
+                near.or_else(|| self.least_loaded(now, waiter))
+            }
+            AffinityPolicy::WaitRatio => {
+                let ratio = load.waiting as f64 / f64::from(load.running.max(1));
+                let room = holder.filter(|state| self.admits(now, waiter, state));
+                match (holder, room) {
+                    (Some(_), None) if ratio < WAIT_RATIO_THRESHOLD => None,
+                    (_, Some(state)) => Some(state.target.clone()),
+                    (_, None) => self.least_loaded(now, waiter),
+                }
+            }
+        }
+    }
+
+    fn prefix_holder(&self, now: Duration, waiter: &Waiter) -> Option<&TargetState> {
+        let holders = self.prefixes.holders(waiter.demand.prefix?);
+        let usable = holders.filter_map(|target| self.targets.get(target)).filter(|state| {
+            !state.leaving && !state.is_blocked(now) && !waiter.excluded.contains(&state.target)
+        });
+        usable.min_by_key(|state| state.load(now))
+    }
+
+    fn is_within_bound(&self, now: Duration, waiter: &Waiter, state: &TargetState) -> bool {
+        let mean = f64::from(self.in_flight) / f64::from(self.capacity.max(1));
+        let own = f64::from(state.in_flight) / f64::from(state.capacity(now).max(1));
+        let one = 1.0 / f64::from(state.capacity(now).max(1));
+        self.admits(now, waiter, state) && own <= AFFINITY_BOUND * mean + one
+    }
+
+    fn least_loaded(&self, now: Duration, waiter: &Waiter) -> Option<TargetId> {
+        let candidates = self.by_load.iter().take_while(|(load, _)| *load < 1000).take(TARGET_SCAN);
+        candidates
+            .filter_map(|(_, target)| self.targets.get(target))
+            .find(|state| self.admits(now, waiter, state))
+            .map(|state| state.target.clone())
+    }
+
+    fn admits(&self, now: Duration, waiter: &Waiter, state: &TargetState) -> bool {
+        let cold = matches!(state.warmth, TargetWarmth::Cold { .. });
+        let held_back = cold && self.is_rebuilding(now);
+        !held_back
+            && !waiter.excluded.contains(&state.target)
+            && state.has_room(now, &waiter.demand)
+    }
+
+    /// Takes back enough of the newest batch leases for `wanted` requests to start.
+    fn revoke(&mut self, wanted: usize, decisions: &mut Vec<Decision>) {
+        let missing = wanted.saturating_sub(self.revoking as usize);
+        if missing == 0 {
+            return;
+        }
+        let leases = &mut self.leases;
+        let newest = self.batch_leases.iter().rev().copied();
+        let open = newest.filter(|id| leases.get(id).is_some_and(|lease| !lease.revoked));
+        let chosen: Vec<LeaseId> = open.take(missing).collect();
+        for id in chosen {
+            let Some(lease) = self.leases.get_mut(&id) else { continue };
+            lease.revoked = true;
+            self.revoking += 1;
+            decisions.push(Decision::Revoke(id, lease.holder.clone()));
+        }
+    }
+
+    fn adopt(&mut self, now: Duration, holder: &VmId, record: &HeldRecord) {
+        if self.leases.contains_key(&record.lease) {
+            return;
+        }
+        // The VM may also hold leases of the same model's pool in another data centre.
+        let Some(state) = self.targets.get_mut(&record.target) else { return };
+        state.start(&record.demand);
+        let lease = LeaseRecord {
+            target: record.target.clone(),
+            holder: holder.clone(),
+            demand: record.demand.clone(),
+            granted_at: now,
+            charged: 0.0,
+            revoked: false,
+        };
+        self.insert_lease(record.lease, lease);
+        self.reindex(now, &record.target);
+    }
+
+    fn confirm_start(&mut self, now: Duration, target: &TargetId, start_id: u64) {
+        let state = self.targets.get_mut(target);
+        if state.is_some_and(|state| state.confirm_start(now, start_id)) {
+            self.prefixes.clear(target);
+        }
+    }
+
+    fn drop_leases(&mut self, now: Duration, ids: &[LeaseId]) {
+        for id in ids {
+            let Some(lease) = self.remove_lease(*id) else { continue };
+            self.settle(&lease, 0.0);
+            self.reindex(now, &lease.target);
+        }
+    }
+
+    fn expire_waiters(&mut self, now: Duration) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        while let Some((deadline, id)) = self.deadlines.first().copied()
+            && deadline <= now
+        {
+            self.cancel(id);
+            decisions.push(Decision::Refuse(id, AcquireRefusal::Busy));
+        }
+        decisions
+    }
+
+    fn expire_holders(&mut self, now: Duration) {
+        let expired = self.lost_holders.extract_if(.., |_, until| *until <= now);
+        let expired: HashSet<VmId> = expired.map(|(vm, _)| vm).collect();
+        if expired.is_empty() {
+            return;
+        }
+        let lost = self.leases.iter().filter(|(_, lease)| expired.contains(&lease.holder));
+        let lost: Vec<LeaseId> = lost.map(|(id, _)| *id).collect();
+        self.drop_leases(now, &lost);
+    }
+
+    /// Updates the order of targets by load and the sums over the pool.
+    fn reindex(&mut self, now: Duration, target: &TargetId) {
+        if let Some(old) = self.indexed.remove(target) {
+            self.by_load.remove(&(old.load, target.clone()));
+            self.capacity -= old.capacity;
+            self.in_flight -= old.in_flight;
+        }
+        let Some(state) = self.targets.get(target) else { return };
+        let entry = LoadEntry {
+            load: state.load(now),
+            capacity: if state.leaving { 0 } else { state.nominal_capacity() },
+            in_flight: state.in_flight,
+        };
+        self.by_load.insert((entry.load, target.clone()));
+        self.capacity += entry.capacity;
+        self.in_flight += entry.in_flight;
+        self.indexed.insert(target.clone(), entry);
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/scheduling/target_state.rs
@@ -0,0 +1,244 @@
+//! What a scheduler knows of one target.
+
+use std::time::Duration;
+
+use crate::ids::TargetId;
+use crate::platform::{EngineCapability, TargetEntry, TargetRole};
+use crate::scheduling::messages::RequestDemand;
+
+/// A target in cold start becomes warm after its stated time and at least this many answers.
+const COLD_ANSWERS: u32 = 2;
+/// A start that was not confirmed by an answer for this long is probed before full load goes there.
+const START_FRESH: Duration = Duration::from_secs(1);
+const FIRST_BLOCK: Duration = Duration::from_millis(50);
+const LONGEST_BLOCK: Duration = Duration::from_secs(3);
+const OVERLOAD_BLOCK: Duration = Duration::from_millis(200);
+/// The time between tokens may exceed the best one seen by this factor before the limit is lowered.
+const SLOWDOWN: f64 = 1.6;
+const LIMIT_DECREASE: f64 = 0.9;
+const DECREASE_PAUSE: Duration = Duration::from_millis(250);
+/// Weight of a new sample in the smoothed time between tokens.
+const SMOOTHING: f64 = 0.2;
+
+/// Whether a target bears full load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetWarmth {
+    /// In cold start: bears a few sequences only.
+    Cold {
+        /// Since when.
+        since: Duration,
+        /// Complete answers since then.
+        answers: u32,
+    },
+    /// Bears its learned limit.
+    Warm,
+}
+
+/// What a scheduler knows of one target.
+#[derive(Debug)]
+pub struct TargetState {
+    /// The name of the target.
+    pub target: TargetId,
+    /// Where it takes requests.
+    pub address: String,
+    /// What it can serve.
+    pub capability: EngineCapability,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Sequences that run there.
+    pub in_flight: u32,
+    /// Whether it bears full load.
+    pub warmth: TargetWarmth,
+    /// The start that answered last; 0 if unknown.
+    pub start_id: u64,
+    cache_tokens: u32,
+    limit: f64,
+    distrusted_start: u64,
+    confirmed_at: Option<Duration>,
+    failures: u32,
+    blocked_until: Duration,
+    best_token: Option<f64>,
+    mean_token: f64,
+    decreased_at: Duration,
+}
+
+impl TargetState {
+    /// A target that was not met yet; `None` unless it is an engine.
+    pub fn open(entry: &TargetEntry, now: Duration) -> Option<Self> {
+        let TargetRole::Engine(capability) = &entry.role else { return None };
+        Some(Self {
+            target: entry.target.clone(),
+            address: entry.address.clone(),
+            capability: capability.clone(),
+            leaving: entry.leaving,
+            in_flight: 0,
+            warmth: TargetWarmth::Cold { since: now, answers: 0 },
+            start_id: 0,
+            cache_tokens: 0,
+            limit: f64::from(capability.max_sequences),
+            distrusted_start: 0,
+            confirmed_at: None,
+            failures: 0,
+            blocked_until: Duration::ZERO,
+            best_token: None,
+            mean_token: 0.0,
+            decreased_at: Duration::ZERO,
+        })
+    }
+
+    /// Takes a new listing of the same target.
+    pub fn update(&mut self, entry: &TargetEntry) {
+        if let TargetRole::Engine(capability) = &entry.role {
+            self.limit = self.limit.min(f64::from(capability.max_sequences));
+            self.capability = capability.clone();
+        }
+        self.address.clone_from(&entry.address);
+        self.leaving = entry.leaving;
+    }
+
+    /// The sequences that the target bears now.
+    pub fn capacity(&self, now: Duration) -> u32 {
+        let limit = self.learned_limit();
+        let fresh = self.confirmed_at.is_some_and(|at| now.saturating_sub(at) < START_FRESH);
+        match self.warmth {
+            TargetWarmth::Warm if fresh => limit,
+            TargetWarmth::Warm | TargetWarmth::Cold { .. } => {
+                limit.min(self.capability.cold_sequences)
+            }
+        }
+    }
+
+    /// The sequences that the target bears once its start is confirmed.
+    pub fn nominal_capacity(&self) -> u32 {
+        match self.warmth {
+            TargetWarmth::Warm => self.learned_limit(),
+            TargetWarmth::Cold { .. } => self.learned_limit().min(self.capability.cold_sequences),
+        }
+    }
+
+    /// Whether the next answer should be reported as soon as it starts.
+    pub fn wants_probe(&self, now: Duration) -> bool {
+        self.confirmed_at.is_none_or(|at| now.saturating_sub(at) >= START_FRESH / 2)
+    }
+
+    /// The load in thousandths of what the target bears; full from 1000 on.
+    pub fn load(&self, now: Duration) -> u32 {
+        let capacity = self.capacity(now);
+        if capacity == 0 || self.leaving || self.is_blocked(now) {
+            return u32::MAX;
+        }
+        self.in_flight.saturating_mul(1000) / capacity
+    }
+
+    /// Whether a request of this size could ever run here.
+    pub fn can_serve(&self, demand: &RequestDemand) -> bool {
+        !self.leaving && demand.cache_tokens() <= self.capability.context_tokens
+    }
+
+    /// Whether a request can start here now.
+    pub fn has_room(&self, now: Duration, demand: &RequestDemand) -> bool {
+        let tokens = self.cache_tokens.saturating_add(demand.cache_tokens());
+        let fits = self.in_flight == 0 || tokens <= self.capability.cache_tokens;
+        fits && self.can_serve(demand) && self.load(now) < 1000
+    }
+
+    /// Whether the target gets nothing because it failed.
+    pub fn is_blocked(&self, now: Duration) -> bool {
+        now < self.blocked_until
+    }
+
+    /// Counts a request that starts.
+    pub fn start(&mut self, demand: &RequestDemand) {
+        self.in_flight += 1;
+        self.cache_tokens = self.cache_tokens.saturating_add(demand.cache_tokens());
+    }
+
+    /// Counts a request that ended.
+    pub fn finish(&mut self, demand: &RequestDemand) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.cache_tokens = self.cache_tokens.saturating_sub(demand.cache_tokens());
+    }
+
+    /// Takes the start that an answer came from. Returns whether the target restarted.
+    pub fn confirm_start(&mut self, now: Duration, start_id: u64) -> bool {
+        if start_id == 0 {
+            return false;
+        }
+        let restarted = self.start_id != 0 && self.start_id != start_id;
+        self.start_id = start_id;
+        self.confirmed_at = Some(now);
+        if restarted {
+            self.warmth = TargetWarmth::Cold { since: now, answers: 0 };
+        }
+        restarted
+    }
+
+    /// Takes a status report, which may be older than what answers showed.
+    pub fn note_status(&mut self, start_id: u64, warm: bool) {
+        if self.start_id == 0 {
+            self.start_id = start_id;
+        }
+        if warm && start_id == self.start_id && start_id != self.distrusted_start {
+            self.warmth = TargetWarmth::Warm;
+        }
+    }
+
+    /// Takes a complete answer.
+    pub fn note_completed(&mut self, now: Duration, token_micros: u32) {
+        self.failures = 0;
+        if let TargetWarmth::Cold { since, answers } = self.warmth {
+            let answers = answers + 1;
+            let over = now.saturating_sub(since) >= Duration::from_millis(self.capability.cold_ms);
+            self.warmth = if over && answers >= COLD_ANSWERS {
+                TargetWarmth::Warm
+            } else {
+                TargetWarmth::Cold { since, answers }
+            };
+            return;
+        }
+        if token_micros > 0 {
+            self.learn_limit(now, f64::from(token_micros));
+        }
+    }
+
+    /// Takes a failure: the target may have restarted.
+    pub fn note_failed(&mut self, now: Duration) {
+        self.failures = (self.failures + 1).min(16);
+        let block = FIRST_BLOCK * 2u32.pow(self.failures.min(6) - 1);
+        self.blocked_until = now + block.min(LONGEST_BLOCK);
+        self.warmth = TargetWarmth::Cold { since: now, answers: 0 };
+        self.distrusted_start = self.start_id;
+        self.confirmed_at = None;
+    }
+
+    /// Takes a refusal because of overload.
+    pub fn note_overloaded(&mut self, now: Duration) {
+        self.blocked_until = self.blocked_until.max(now + OVERLOAD_BLOCK);
+        self.limit = (self.limit * LIMIT_DECREASE).max(1.0);
+    }
+
+    fn learned_limit(&self) -> u32 {
+        (self.limit as u32).max(1)
+    }
+
+    /// Additive increase, multiplicative decrease on the time between tokens (Chiu and Jain, "Analysis
+    /// of the increase and decrease algorithms for congestion avoidance", 1989).
+    fn learn_limit(&mut self, now: Duration, token_micros: f64) {
+        let best = self.best_token.map_or(token_micros, |best| best.min(token_micros));
+        self.best_token = Some(best);
+        self.mean_token = if self.mean_token == 0.0 {
+            token_micros
+        } else {
+            self.mean_token + SMOOTHING * (token_micros - self.mean_token)
+        };
+        if self.mean_token > best * SLOWDOWN {
+            if now.saturating_sub(self.decreased_at) >= DECREASE_PAUSE {
+                self.limit = (self.limit * LIMIT_DECREASE).max(1.0);
+                self.decreased_at = now;
+            }
+            return;
+        }
+        let most = f64::from(self.capability.max_sequences);
+        self.limit = (self.limit + 1.0 / self.limit).min(most);
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/settings/reader.rs
@@ -0,0 +1,214 @@
+//! Reads JSON with comments and collects what is wrong with it.
+
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::str::FromStr;
+
+use jsonc_parser::ast::{Object, Value};
+use jsonc_parser::common::Ranged;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+
+use crate::settings::{Finding, SettingsFindings};
+
+/// Reads the document `text` of the file `name` with `read`.
+///
+/// # Errors
+///
+/// All findings, each with its place.
+pub fn read_document<T>(
+    name: &str,
+    text: &str,
+    read: impl FnOnce(&mut ObjectReader<'_>) -> Option<T>,
+) -> Result<T, SettingsFindings> {
+    let options = ParseOptions {
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        ..ParseOptions::default()
+    };
+    let mut findings = Vec::new();
+    let value = match parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(parsed) => parsed.value,
+        Err(error) => {
+            let span = error.range().start..error.range().end;
+            findings.push(Finding { span, message: error.kind().to_string() });
+            return Err(SettingsFindings::new(name, text, findings));
+        }
+    };
+    let Some(Value::Object(object)) = value else {
+        findings.push(Finding { span: 0..0, message: "expected an object".to_owned() });
+        return Err(SettingsFindings::new(name, text, findings));
+    };
+    let result = read(&mut ObjectReader { object: &object, findings: &mut findings });
+    match result {
+        Some(result) if findings.is_empty() => Ok(result),
+        _ => Err(SettingsFindings::new(name, text, findings)),
+    }
+}
+
+/// Reads the fields of one object. A missing or wrong field is noted and reads as `None`.
+pub struct ObjectReader<'a> {
+    object: &'a Object<'a>,
+    findings: &'a mut Vec<Finding>,
+}
+
+impl<'a> ObjectReader<'a> {
+    /// Notes every field that is not in `fields`.
+    pub fn allow(&mut self, fields: &[&str]) {
+        for property in &self.object.properties {
+            let name = property.name.as_str();
+            if !fields.contains(&name) {
+                let span = span_of(&property.name);
+                self.findings.push(Finding { span, message: format!("unknown field `{name}`") });
+            }
+        }
+    }
+
+    /// Whether a field is present.
+    pub fn has(&self, field: &str) -> bool {
+        self.object.get(field).is_some()
+    }
+
+    /// Notes a finding about a field.
+    pub fn find(&mut self, field: &str, message: String) {
+        let span = self.value(field).map_or_else(|| span_of(self.object), span_of);
+        self.findings.push(Finding { span, message });
+    }
+
+    /// Reads a string that is not empty.
+    pub fn string(&mut self, field: &str) -> Option<String> {
+        match self.required(field)? {
+            Value::StringLit(text) if !text.value.is_empty() => Some(text.value.to_string()),
+            _ => self.wrong(field, "a string that is not empty"),
+        }
+    }
+
+    /// Reads a string and parses it.
+    pub fn parsed<T: FromStr<Err = String>>(&mut self, field: &str) -> Option<T> {
+        let text = self.string(field)?;
+        text.parse().map_err(|message| self.find(field, message)).ok()
+    }
+
+    /// Reads an address, `ip:port`.
+    pub fn address(&mut self, field: &str) -> Option<SocketAddr> {
+        let text = self.string(field)?;
+        let address = text.parse().ok();
+        address.or_else(|| self.wrong(field, "an address such as `127.0.0.1:8080`"))
+    }
+
+    /// Reads a list of strings that is not empty.
+    pub fn strings(&mut self, field: &str) -> Option<Vec<String>> {
+        let Value::Array(array) = self.required(field)? else {
+            return self.wrong(field, "a list of strings");
+        };
+        let texts: Option<Vec<String>> = array
+            .elements
+            .iter()
+            .map(|element| element.as_string_lit().map(|text| text.value.to_string()))
+            .collect();
+        let texts = texts.filter(|texts| !texts.is_empty());
+        texts.or_else(|| self.wrong(field, "a list of strings that is not empty"))
+    }
+
+    /// Reads a whole number between `least` and `most`.
+    pub fn integer(&mut self, field: &str, default: u64, least: u64, most: u64) -> u64 {
+        let Some(value) = self.value(field) else { return default };
+        let number = value.as_number_lit().and_then(|number| number.value.parse().ok());
+        let number = number.filter(|number| (least..=most).contains(number));
+        number.unwrap_or_else(|| {
+            self.find(field, format!("`{field}` must be a whole number from {least} to {most}"));
+            default
+        })
+    }
+
+    /// Reads a number between `least` and `most`.
+    pub fn number(&mut self, field: &str, default: f64, least: f64, most: f64) -> f64 {
+        let Some(value) = self.value(field) else { return default };
+        let number = value.as_number_lit().and_then(|number| number.value.parse().ok());
+        let number = number.filter(|number| (least..=most).contains(number));
+        number.unwrap_or_else(|| {
+            self.find(field, format!("`{field}` must be a number from {least} to {most}"));
+            default
+        })
+    }
+
+    /// Reads one of several words.
+    pub fn choice<T: Copy>(&mut self, field: &str, choices: &[(&str, T)]) -> Option<T> {
+        let value = self.value(field)?;
+        let word = value.as_string_lit().map(|text| text.value.to_string());
+        let found = choices.iter().find(|(name, _)| Some(*name) == word.as_deref());
+        if let Some((_, choice)) = found {
+            return Some(*choice);
+        }
+        let names: Vec<String> = choices.iter().map(|(name, _)| format!("`{name}`")).collect();
+        self.wrong(field, &format!("one of {}", names.join(", ")))
+    }
+
+    /// Reads an object.
+    pub fn object<T>(
+        &mut self,
+        field: &str,
+        read: impl FnOnce(&mut ObjectReader<'_>) -> Option<T>,
+    ) -> Option<T> {
+        self.required(field)?;
+        self.optional_object(field, read)
+    }
+
+    /// Reads an object that may be absent.
+    pub fn optional_object<T>(
+        &mut self,
+        field: &str,
+        read: impl FnOnce(&mut ObjectReader<'_>) -> Option<T>,
+    ) -> Option<T> {
+        match self.value(field)? {
+            Value::Object(object) => read(&mut ObjectReader { object, findings: self.findings }),
+            _ => self.wrong(field, "an object"),
+        }
+    }
+
+    /// Reads a list of objects that may be absent.
+    pub fn objects<T>(
+        &mut self,
+        field: &str,
+        mut read: impl FnMut(&mut ObjectReader<'_>) -> Option<T>,
+    ) -> Vec<T> {
+        let Some(value) = self.value(field) else { return Vec::new() };
+        let Value::Array(array) = value else {
+            self.find(field, format!("`{field}` must be a list of objects"));
+            return Vec::new();
+        };
+        let mut items = Vec::new();
+        for element in &array.elements {
+            match element {
+                Value::Object(object) => {
+                    items.extend(read(&mut ObjectReader { object, findings: self.findings }));
+                }
+                other => self.findings.push(Finding {
+                    span: span_of(other),
+                    message: "expected an object".to_owned(),
+                }),
+            }
+        }
+        items
+    }
+
+    fn value(&self, field: &str) -> Option<&'a Value<'a>> {
+        self.object.get(field).map(|property| &property.value)
+    }
+
+    fn required(&mut self, field: &str) -> Option<&'a Value<'a>> {
+        if !self.has(field) {
+            self.find(field, format!("`{field}` is missing"));
+        }
+        self.value(field)
+    }
+
+    fn wrong<T>(&mut self, field: &str, expected: &str) -> Option<T> {
+        self.find(field, format!("`{field}` must be {expected}"));
+        None
+    }
+}
+
+fn span_of(ranged: &impl Ranged) -> Range<usize> {
+    ranged.start()..ranged.end()
+}
--- /dev/null
+++ b/crates/ebonydock/src/targets/http.rs
@@ -0,0 +1,216 @@
+//! Targets over HTTP: engines with JSON requests and server-sent events, services as they are.
+
+use std::time::Duration;
+
+use eventsource_stream::Eventsource;
+use futures_util::future::LocalBoxFuture;
+use futures_util::{StreamExt, TryStreamExt};
+use ntex::client::error::ClientError;
+use ntex::client::{Client, ClientResponse};
+use ntex::http::header::CONTENT_TYPE;
+use ntex::http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::platform::http::http_client;
+use crate::scheduling::CacheReport;
+use crate::targets::{
+    EngineClient, EngineOrder, EngineStatus, GenerateRequest, ServiceClient, ServiceRequest,
+    ServiceResponse, TargetError, TokenEvent, TokenEvents, TokenStream,
+};
+
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+/// An engine that is silent for this long in the middle of an answer is taken as broken.
+const TOKEN_TIMEOUT: Duration = Duration::from_secs(5);
+const START_ID_HEADER: &str = "x-start-id";
+
+/// A client of targets over HTTP.
+pub struct TargetClient {
+    client: Client,
+}
+
+/// One event of an engine's answer.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct EngineEvent {
+    /// The request that the event belongs to.
+    pub request_id: String,
+    /// The number of the token, counted over resumed attempts.
+    pub index: u32,
+    /// The token.
+    #[serde(default)]
+    pub text: String,
+    /// Set on the last event.
+    #[serde(default)]
+    pub finish_reason: Option<String>,
+}
+
+/// An engine's cache report on the wire.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct EngineCache {
+    /// The number of the first event, or of the next one in a listing.
+    pub position: u64,
+    /// Whether `entries` lists everything.
+    pub listing: bool,
+    /// Prefixes, `true` if stored and `false` if evicted.
+    pub entries: Vec<(u64, bool)>,
+}
+
+impl TargetClient {
+    /// Opens a client.
+    pub async fn open() -> Self {
+        Self { client: http_client(ANSWER_TIMEOUT).await }
+    }
+}
+
+fn sent_error(error: &ClientError) -> TargetError {
+    match error {
+        ClientError::Connect(_) => TargetError::NotSent,
+        other => TargetError::Broken(other.to_string()),
+    }
+}
+
+fn broken(error: impl std::fmt::Display) -> TargetError {
+    TargetError::Broken(error.to_string())
+}
+
+async fn refused(response: &ClientResponse) -> TargetError {
+    let status = response.status();
+    if matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
+        return TargetError::Overloaded;
+    }
+    let text = response.body().await.unwrap_or_default();
+    let text = String::from_utf8_lossy(&text).into_owned();
+    if status.is_client_error() {
+        return TargetError::Rejected(text);
+    }
+    TargetError::Broken(format!("status {status}: {text}"))
+}
+
+fn start_id(response: &ClientResponse) -> u64 {
+    let header = response.header(START_ID_HEADER).and_then(|value| value.to_str().ok());
+    header.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Checks one event against the request that it should belong to.
+fn checked_event(request_id: &str, next: &mut u32, data: &str) -> Result<TokenEvent, TargetError> {
+    let event: EngineEvent = serde_json::from_str(data).map_err(broken)?;
+    if event.request_id != request_id || event.index != *next {
+        return Err(TargetError::Mismatch);
+    }
+    if let Some(reason) = event.finish_reason {
+        return Ok(TokenEvent::Done(reason));
+    }
+    *next += 1;
+    Ok(TokenEvent::Token(event.text))
+}
+
+fn events_of(response: &ClientResponse, request: &GenerateRequest) -> TokenEvents {
+    let request_id = request.request_id.clone();
+    let mut next = request.generated_tokens;
+    let mut done = false;
+    let events = response.take_payload().map_ok(|bytes| bytes.to_vec()).eventsource();
+    let timed = futures_util::stream::unfold(Box::pin(events), |mut events| async move {
+        match ntex::time::timeout(TOKEN_TIMEOUT, events.next()).await {
+            Ok(Some(event)) => Some((event.map_err(broken), events)),
+            Ok(None) => Some((Err(TargetError::Broken("the answer is incomplete".into())), events)),
+            Err(()) => Some((Err(TargetError::Broken("no token in time".into())), events)),
+        }
+    });
+    let checked = timed.map(move |event| checked_event(&request_id, &mut next, &event?.data));
+    // Nothing is read behind the last event or the first error.
+    let ended = checked.take_while(move |event| {
+        let ended = done;
+        done = !matches!(event, Ok(TokenEvent::Token(_)));
+        futures_util::future::ready(!ended)
+    });
+    Box::pin(ended)
+}
+
+impl EngineClient for TargetClient {
+    fn generate<'a>(
+        &'a self,
+        address: &'a str,
+        request: &'a GenerateRequest,
+    ) -> LocalBoxFuture<'a, Result<TokenStream, TargetError>> {
+        Box::pin(async move {
+            let call = self.client.post(format!("http://{address}/v1/generate"));
+            let response = call.send_json(request).await.map_err(|error| sent_error(&error))?;
+            if response.status() != StatusCode::OK {
+                return Err(refused(&response).await);
+            }
+            Ok(TokenStream { start_id: start_id(&response), events: events_of(&response, request) })
+        })
+    }
+
+    fn status<'a>(
+        &'a self,
+        address: &'a str,
+    ) -> LocalBoxFuture<'a, Result<EngineStatus, TargetError>> {
+        Box::pin(async move {
+            let call = self.client.get(format!("http://{address}/status"));
+            let response = call.send().await.map_err(|error| sent_error(&error))?;
+            response.json().await.map_err(broken)
+        })
+    }
+
+    fn cache<'a>(
+        &'a self,
+        address: &'a str,
+        after: Option<u64>,
+    ) -> LocalBoxFuture<'a, Result<CacheReport, TargetError>> {
+        Box::pin(async move {
+            let after = after.map(|after| format!("?after={after}")).unwrap_or_default();
+            let call = self.client.get(format!("http://{address}/cache{after}"));
+            let response = call.send().await.map_err(|error| sent_error(&error))?;
+            let cache: EngineCache = response.json().await.map_err(broken)?;
+            Ok(cache.into())
+        })
+    }
+
+    fn order<'a>(
+        &'a self,
+        address: &'a str,
+        order: &'a EngineOrder,
+    ) -> LocalBoxFuture<'a, Result<(), TargetError>> {
+        Box::pin(async move {
+            let call = self.client.post(format!("http://{address}/orders"));
+            let response = call.send_json(order).await.map_err(|error| sent_error(&error))?;
+            if response.status().is_success() { Ok(()) } else { Err(refused(&response).await) }
+        })
+    }
+}
+
+impl From<EngineCache> for CacheReport {
+    fn from(cache: EngineCache) -> Self {
+        if cache.listing {
+            let prefixes = cache.entries.into_iter().map(|(prefix, _)| prefix).collect();
+            return Self::Listing { next_event: cache.position, prefixes };
+        }
+        Self::Events { first_event: cache.position, events: cache.entries }
+    }
+}
+
+impl ServiceClient for TargetClient {
+    fn call<'a>(
+        &'a self,
+        address: &'a str,
+        request: &'a ServiceRequest,
+    ) -> LocalBoxFuture<'a, Result<ServiceResponse, TargetError>> {
+        Box::pin(async move {
+            let method = Method::from_bytes(request.method.as_bytes()).map_err(broken)?;
+            let url = format!("http://{address}{}", request.path);
+            let mut call = self.client.request(method, url).force_close();
+            call = call.set_header("x-request-id", request.request_id.as_str());
+            if let Some(content_type) = &request.content_type {
+                call = call.set_header(CONTENT_TYPE, content_type.as_str());
+            }
+            let body = request.body.clone();
+            let response = call.send_body(body).await.map_err(|error| sent_error(&error))?;
+            let content_type = response.header(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+            Ok(ServiceResponse {
+                status: response.status().as_u16(),
+                content_type: content_type.map(str::to_owned),
+                body: response.body().await.map_err(broken)?.to_vec(),
+            })
+        })
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/vm/directory.rs
@@ -0,0 +1,124 @@
+//! What a VM knows of the fleet: listed VMs and targets, and the digests of other data centres.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::{DataCentreId, ModelName, ServiceName, VmId};
+use crate::membership::messages::{DataCentreDigest, PoolSummary, VmAddress};
+use crate::platform::{FleetListing, TargetEntry, TargetRole};
+
+/// A data centre whose digest is older than this is taken as cut off.
+const DIGEST_FRESH: Duration = Duration::from_secs(8);
+
+#[derive(Debug)]
+struct HeardDigest {
+    digest: DataCentreDigest,
+    heard_at: Duration,
+}
+
+/// What a VM knows of the fleet.
+#[derive(Debug, Default)]
+pub(crate) struct FleetDirectory {
+    listing: FleetListing,
+    digests: HashMap<DataCentreId, HeardDigest>,
+    own_pools: HashMap<ModelName, PoolSummary>,
+}
+
+impl FleetDirectory {
+    /// Takes a new listing. Returns whether it differs.
+    pub(crate) fn set_listing(&mut self, listing: FleetListing) -> bool {
+        let differs = listing != self.listing;
+        self.listing = listing;
+        differs
+    }
+
+    /// The listed VMs of a data centre.
+    pub(crate) fn vms_of(&self, data_centre: &DataCentreId) -> Vec<VmAddress> {
+        let vms = self.listing.vms.iter().filter(|entry| entry.data_centre == *data_centre);
+        vms.map(|entry| VmAddress { vm: entry.vm.clone(), address: entry.peer_address }).collect()
+    }
+
+    /// The engines of a data centre that serve a model.
+    pub(crate) fn engines(
+        &self,
+        data_centre: &DataCentreId,
+        model: &ModelName,
+    ) -> Vec<TargetEntry> {
+        let serves = |entry: &&TargetEntry| {
+            let TargetRole::Engine(capability) = &entry.role else { return false };
+            entry.data_centre == *data_centre && capability.models.contains(model)
+        };
+        self.listing.targets.iter().filter(serves).cloned().collect()
+    }
+
+    /// The models that engines of a data centre serve.
+    pub(crate) fn models_of(&self, data_centre: &DataCentreId) -> Vec<ModelName> {
+        let mut models: Vec<ModelName> = self
+            .listing
+            .targets
+            .iter()
+            .filter(|entry| entry.data_centre == *data_centre)
+            .filter_map(|entry| match &entry.role {
+                TargetRole::Engine(capability) => Some(&capability.models),
+                TargetRole::Service(_) => None,
+            })
+            .flatten()
+            .cloned()
+            .collect();
+        models.sort();
+        models.dedup();
+        models
+    }
+
+    /// The targets of a plain service that are not leaving.
+    pub(crate) fn services(&self, name: &ServiceName) -> Vec<&TargetEntry> {
+        let matches = |entry: &&TargetEntry| {
+            !entry.leaving && matches!(&entry.role, TargetRole::Service(service) if service == name)
+        };
+        self.listing.targets.iter().filter(matches).collect()
+    }
+
+    /// Takes a digest of another data centre. Returns whether it is news.
+    pub(crate) fn hear(&mut self, now: Duration, digest: DataCentreDigest) -> bool {
+        let heard = self.digests.get(&digest.data_centre);
+        let fresh = heard.filter(|heard| now.saturating_sub(heard.heard_at) < DIGEST_FRESH);
+        if fresh.is_some_and(|heard| heard.digest.sequence >= digest.sequence) {
+            return false;
+        }
+        let heard = HeardDigest { digest, heard_at: now };
+        self.digests.insert(heard.digest.data_centre.clone(), heard);
+        true
+    }
+
+    /// The digest of a data centre, if it is fresh.
+    pub(crate) fn digest(&self, now: Duration, id: &DataCentreId) -> Option<&DataCentreDigest> {
+        let heard = self.digests.get(id)?;
+        (now.saturating_sub(heard.heard_at) < DIGEST_FRESH).then_some(&heard.digest)
+    }
+
+    /// How long a data centre has been silent; `None` if it was never heard.
+    pub(crate) fn silence(&self, now: Duration, id: &DataCentreId) -> Option<Duration> {
+        self.digests.get(id).map(|heard| now.saturating_sub(heard.heard_at))
+    }
+
+    /// The address of a VM in another data centre.
+    pub(crate) fn address_of(&self, vm: &VmId) -> Option<SocketAddr> {
+        let digests = self.digests.values().flat_map(|heard| &heard.digest.vms);
+        let digested = digests.into_iter().find(|entry| entry.vm == *vm).map(|entry| entry.address);
+        digested.or_else(|| {
+            let listed = self.listing.vms.iter().find(|entry| entry.vm == *vm);
+            listed.map(|entry| entry.peer_address)
+        })
+    }
+
+    /// Notes the load of a pool in the own data centre.
+    pub(crate) fn note_pool(&mut self, summary: PoolSummary) {
+        self.own_pools.insert(summary.model.clone(), summary);
+    }
+
+    /// The load of the pools in the own data centre.
+    pub(crate) fn own_pools(&self) -> impl Iterator<Item = &PoolSummary> {
+        self.own_pools.values()
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/vm/handle.rs
@@ -0,0 +1,234 @@
+//! A running VM.
+
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use ntex::web::{App, HttpServer};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::jobs::JobLeads;
+use crate::peers::{PeerEndpoint, TlsIdentity};
+use crate::settings::VmSettings;
+use crate::vm::handler::PeerHandler;
+use crate::vm::tasks::{on_view_change, send_heartbeats, spawn_all};
+use crate::vm::{VmContext, VmShared};
+use crate::{entry, operators};
+
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+const HEADERS_LIMIT: usize = 64;
+/// A stopping VM stays long enough for the balancer and the other VMs to notice.
+const NOTICE_TIME: Duration = Duration::from_millis(1500);
+
+/// Where a running VM can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VmAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other VMs.
+    pub peers: SocketAddr,
+}
+
+enum VmCommand {
+    Drain,
+    Halt,
+}
+
+/// A running VM, on a thread of its own.
+pub struct VmHandle {
+    addresses: VmAddresses,
+    commands: mpsc::UnboundedSender<VmCommand>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl VmHandle {
+    /// Starts a VM and returns when it listens.
+    ///
+    /// # Errors
+    ///
+    /// A sentence that says what could not be opened.
+    pub fn spawn(settings: VmSettings) -> Result<Self, String> {
+        let identity = TlsIdentity {
+            authority: read(&settings.tls.authority)?,
+            certificate: read(&settings.tls.certificate)?,
+            private_key: read(&settings.tls.private_key)?,
+        };
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let (started, starting) = oneshot::channel();
+        let name = settings.vm.to_string();
+        let run = move || {
+            let system = ntex::rt::System::new(&name, ntex::rt::DefaultRuntime);
+            system.block_on(run_vm(settings, identity, receiver, started));
+        };
+        let thread = std::thread::Builder::new().name("vm".to_owned()).spawn(run);
+        let thread = thread.map_err(|error| error.to_string())?;
+        let addresses = starting.blocking_recv().map_err(|error| error.to_string())??;
+        Ok(Self { addresses, commands, thread: Some(thread) })
+    }
+
+    /// Where the VM can be reached.
+    pub fn addresses(&self) -> VmAddresses {
+        self.addresses
+    }
+
+    /// Stops the VM as planned: it turns not ready, hands over what it owns, finishes what runs, and
+    /// leaves. Returns when it has stopped.
+    pub fn stop(mut self) {
+        self.end(VmCommand::Drain);
+    }
+
+    /// Stops the VM at once, as when it is lost.
+    pub fn halt(mut self) {
+        self.end(VmCommand::Halt);
+    }
+
+    fn end(&mut self, command: VmCommand) {
+        let _ = self.commands.send(command);
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("vm: The thread of the VM panicked.");
+        }
+    }
+}
+
+impl Drop for VmHandle {
+    fn drop(&mut self) {
+        if self.thread.is_some() {
+            self.end(VmCommand::Halt);
+        }
+    }
+}
+
+fn read(path: &std::path::Path) -> Result<String, String> {
+    std::fs::read_to_string(path)
+        .map_err(|error| format!("cannot read `{}`: {error}", path.display()))
+}
+
+fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), String> {
+    let listener = TcpListener::bind(address).and_then(|listener| {
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    });
+    listener.map_err(|error| format!("cannot bind `{address}`: {error}"))
+}
+
+type StartReport = oneshot::Sender<Result<VmAddresses, String>>;
+
+async fn run_vm(
+    settings: VmSettings,
+    identity: TlsIdentity,
+    mut commands: mpsc::UnboundedReceiver<VmCommand>,
+    started: StartReport,
+) {
+    let opened = open_vm(settings, &identity);
+    let (shared, callers, operators, addresses) = match opened {
+        Ok(opened) => opened,
+        Err(error) => {
+            let _ = started.send(Err(error));
+            return;
+        }
+    };
+    let servers = serve_callers(&shared, callers)
+        .and_then(|callers| Ok((callers, serve_operators(&shared, operators)?)));
+    let (caller_server, operator_server) = match servers {
+        Ok(servers) => servers,
+        Err(error) => {
+            let _ = started.send(Err(error.to_string()));
+            return;
+        }
+    };
+    let context = VmContext::open(Arc::clone(&shared)).await;
+    let leads = Rc::new(JobLeads::default());
+    let handler = Rc::new(PeerHandler::open(&context, &leads));
+    ntex::rt::spawn(shared.peers.clone().serve(handler));
+    spawn_all(&context, &leads);
+    log::info!("vm: `{}` serves callers at {}.", shared.settings.vm, addresses.callers);
+    let _ = started.send(Ok(addresses));
+    if let Some(VmCommand::Drain) = commands.recv().await {
+        drain(&context, &mut commands).await;
+    }
+    shared.peers.close();
+    caller_server.stop(false).await;
+    operator_server.stop(false).await;
+    log::info!("vm: `{}` has stopped.", shared.settings.vm);
+}
+
+type OpenedVm = (Arc<VmShared>, TcpListener, TcpListener, VmAddresses);
+
+fn open_vm(settings: VmSettings, identity: &TlsIdentity) -> Result<OpenedVm, String> {
+    let (callers, callers_address) = listen(settings.callers)?;
+    let (operators, operators_address) = listen(settings.operators)?;
+    let peers = PeerEndpoint::bind(&settings.vm, settings.peers, identity)?;
+    let peers_address = peers.local_address()?;
+    let advertised = settings.advertise.unwrap_or(peers_address);
+    let shared = Arc::new(VmShared::open(settings, peers, advertised));
+    let addresses = VmAddresses {
+        callers: callers_address,
+        operators: operators_address,
+        peers: peers_address,
+    };
+    Ok((shared, callers, operators, addresses))
+}
+
+type RunningServer = ntex::server::Server;
+
+fn service_config(name: &'static str) -> ntex::SharedCfg {
+    let service = ntex::http::HttpServiceConfig::new().set_max_headers(HEADERS_LIMIT);
+    ntex::SharedCfg::new(name).add(service).into()
+}
+
+fn serve_callers(shared: &Arc<VmShared>, listener: TcpListener) -> std::io::Result<RunningServer> {
+    let shared = Arc::clone(shared);
+    let server = HttpServer::new(async move || {
+        let context = VmContext::open(Arc::clone(&shared)).await;
+        App::new()
+            .state(context)
+            .configure(entry::configure)
+            .default_service(ntex::web::route().to(entry::unknown_route))
+    });
+    let server = server.workers(1).disable_signals().config(service_config("callers"));
+    Ok(server.listen(listener)?.run())
+}
+
+fn serve_operators(
+    shared: &Arc<VmShared>,
+    listener: TcpListener,
+) -> std::io::Result<RunningServer> {
+    let shared = Arc::clone(shared);
+    let server = HttpServer::new(async move || {
+        let context = VmContext::open(Arc::clone(&shared)).await;
+        App::new()
+            .state(context)
+            .configure(operators::configure)
+            .default_service(ntex::web::route().to(entry::unknown_route))
+    });
+    let server = server.workers(1).disable_signals().config(service_config("operators"));
+    Ok(server.listen(listener)?.run())
+}
+
+/// Turns not ready, hands over, and waits until nothing runs or the limit is reached.
+async fn drain(context: &Rc<VmContext>, commands: &mut mpsc::UnboundedReceiver<VmCommand>) {
+    let shared = &context.shared;
+    log::info!("vm: `{}` is stopping with {} running.", shared.settings.vm, shared.running());
+    shared.set_stopping();
+    send_heartbeats(context);
+    on_view_change(context);
+    let wait = async {
+        ntex::time::sleep(NOTICE_TIME).await;
+        while shared.running() > 0 {
+            ntex::time::sleep(DRAIN_POLL).await;
+        }
+    };
+    tokio::select! {
+        () = wait => {}
+        () = ntex::time::sleep(shared.settings.online.drain) => {
+            log::warn!("vm: Stopped with {} requests running.", shared.running());
+        }
+        _ = commands.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/vm/handler.rs
@@ -0,0 +1,121 @@
+//! Handles the messages of other VMs.
+
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+
+use crate::clock::monotonic;
+use crate::configuration::messages::ChangeReply;
+use crate::ids::VmId;
+use crate::jobs::{JobKey, JobLeads, run_chunk};
+use crate::limits::admission::{draw_from_own, lend_from_own, take_over_buckets};
+use crate::membership::messages::DataCentreDigest;
+use crate::operators::{announce, apply_reply};
+use crate::peers::PeerEvents;
+use crate::peers::messages::{PeerDatagram, PeerReply, PeerRequest};
+use crate::routing::{acquire_locally, send_in_background, send_revokes};
+use crate::vm::VmContext;
+use crate::vm::tasks::on_view_change;
+
+/// Handles the messages of other VMs.
+pub(crate) struct PeerHandler {
+    context: Rc<VmContext>,
+    leads: Rc<JobLeads>,
+}
+
+impl PeerHandler {
+    /// A handler that acts with `context`.
+    pub(crate) fn open(context: &Rc<VmContext>, leads: &Rc<JobLeads>) -> Self {
+        Self { context: Rc::clone(context), leads: Rc::clone(leads) }
+    }
+
+    async fn reply(&self, from: VmId, request: PeerRequest) -> PeerReply {
+        let context = &self.context;
+        let shared = &context.shared;
+        let now = monotonic();
+        match request {
+            PeerRequest::Acquire(request) => {
+                PeerReply::Acquire(acquire_locally(context, &from, request).await)
+            }
+            PeerRequest::Started(report) => {
+                send_revokes(context, shared.pools.started(now, &report));
+                PeerReply::Done
+            }
+            PeerRequest::Release(report) => {
+                send_revokes(context, shared.pools.release(now, &report));
+                PeerReply::Done
+            }
+            PeerRequest::Revoke(order) => {
+                shared.held.revoke(order.lease);
+                PeerReply::Done
+            }
+            PeerRequest::Held(query) => PeerReply::Held(shared.held.list(&query.model)),
+            PeerRequest::Draw(request) => {
+                PeerReply::Grant(draw_from_own(shared, &from, &request).await)
+            }
+            PeerRequest::Lend(request) => PeerReply::Grant(lend_from_own(shared, &from, &request)),
+            PeerRequest::Handover(handover) => {
+                take_over_buckets(shared, &handover);
+                PeerReply::Done
+            }
+            PeerRequest::Changes(query) => {
+                PeerReply::Changes(shared.with_config_state(|state| state.reply_after(query.after)))
+            }
+            PeerRequest::Announce(batch) => {
+                let applied = apply_reply(context, ChangeReply::Batches(batch.batches));
+                if batch.relay {
+                    announce(context, &applied, false);
+                }
+                PeerReply::Done
+            }
+            PeerRequest::RunChunk(order) => match run_chunk(context, &order).await {
+                Ok(report) => PeerReply::Chunk(report),
+                Err(error) => PeerReply::Rejected(error.to_string()),
+            },
+            PeerRequest::Job(signal) => {
+                self.leads.wake(&JobKey { workspace: signal.workspace, job: signal.job });
+                shared.wake_jobs();
+                PeerReply::Done
+            }
+            PeerRequest::Digest(digest) => {
+                self.hear(digest);
+                PeerReply::Done
+            }
+        }
+    }
+
+    fn hear(&self, mut digest: DataCentreDigest) {
+        let relay = std::mem::replace(&mut digest.relay, false);
+        let news = self.context.shared.fleet().hear(monotonic(), digest.clone());
+        if !(relay && news) {
+            return;
+        }
+        let members: Vec<VmId> =
+            self.context.shared.membership().members().map(|(vm, _)| vm.clone()).collect();
+        for vm in members {
+            send_in_background(&self.context, vm, PeerRequest::Digest(digest.clone()));
+        }
+    }
+}
+
+impl PeerEvents for PeerHandler {
+    fn handle(
+        self: Rc<Self>,
+        from: VmId,
+        request: PeerRequest,
+    ) -> LocalBoxFuture<'static, PeerReply> {
+        Box::pin(async move { self.reply(from, request).await })
+    }
+
+    fn datagram(&self, from: VmId, datagram: PeerDatagram) {
+        let PeerDatagram::Heartbeat(heartbeat) = datagram;
+        let shared = &self.context.shared;
+        for pool in &heartbeat.pools {
+            shared.fleet().note_pool(pool.clone());
+        }
+        let changed = shared.membership().receive(monotonic(), &from, &heartbeat);
+        if changed {
+            on_view_change(&self.context);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/vm/tasks.rs
@@ -0,0 +1,355 @@
+//! What a VM does by itself, each task at its own pace.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::monotonic;
+use crate::configuration::ConfigStore;
+use crate::configuration::messages::ChangeQuery;
+use crate::ids::{ConfigVersion, ModelName, TargetId, VmId};
+use crate::jobs::{JobLeads, scan_jobs};
+use crate::limits::admission::{compact, release_buckets};
+use crate::membership::messages::{DataCentreDigest, Heartbeat, VmAddress};
+use crate::operators::{announce, apply_reply};
+use crate::ownership::ranked;
+use crate::peers::messages::{PeerDatagram, PeerReply, PeerRequest};
+use crate::routing::{pool_key, send_in_background, send_revokes};
+use crate::scheduling::messages::HeldQuery;
+use crate::vm::VmContext;
+
+const FLEET_INTERVAL: Duration = Duration::from_secs(1);
+const CONFIG_INTERVAL: Duration = Duration::from_secs(1);
+const POOL_INTERVAL: Duration = Duration::from_millis(25);
+const COMPACT_INTERVAL: Duration = Duration::from_secs(5);
+const COLD_STATUS_INTERVAL: Duration = Duration::from_millis(500);
+const STATUS_ROUNDS_WHEN_WARM: u32 = 4;
+const JOB_SCAN_INTERVAL: Duration = Duration::from_secs(5);
+const RECONCILE_INTERVAL: Duration = Duration::from_secs(3);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const BASE_DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+const DIGEST_INTERVAL_PER_DATA_CENTRE: Duration = Duration::from_millis(100);
+/// VMs of a data centre that read the configuration from the platform.
+const CONFIG_READERS: usize = 2;
+
+/// Starts every task of a VM on the current thread.
+pub(super) fn spawn_all(context: &Rc<VmContext>, leads: &Rc<JobLeads>) {
+    let own = |context: &Rc<VmContext>| Rc::clone(context);
+    ntex::rt::spawn(heartbeats(own(context)));
+    ntex::rt::spawn(follow_fleet(own(context)));
+    ntex::rt::spawn(follow_config(own(context)));
+    ntex::rt::spawn(drive_pools(own(context)));
+    ntex::rt::spawn(watch_targets(own(context)));
+    ntex::rt::spawn(reconcile_leases(own(context)));
+    ntex::rt::spawn(send_digests(own(context)));
+    ntex::rt::spawn(compact_limits(own(context)));
+    ntex::rt::spawn(follow_jobs(own(context), Rc::clone(leads)));
+}
+
+async fn heartbeats(context: Rc<VmContext>) {
+    loop {
+        send_heartbeats(&context);
+        let lost = context.shared.membership().expire(monotonic());
+        for vm in &lost {
+            log::warn!("membership: Lost VM `{vm}`.");
+            context.shared.peers.disconnect(vm);
+            context.shared.pools.lose_holder(monotonic(), vm);
+        }
+        if !lost.is_empty() {
+            on_view_change(&context);
+        }
+        let interval = context.shared.membership().limits().interval;
+        ntex::time::sleep(interval).await;
+    }
+}
+
+/// Sends one round of heartbeats.
+pub(super) fn send_heartbeats(context: &VmContext) {
+    let shared = &context.shared;
+    let now = monotonic();
+    let pools = shared.pools.summaries();
+    for pool in &pools {
+        shared.fleet().note_pool(pool.clone());
+    }
+    let config_version = shared.with_config(|config| config.version);
+    let (phase, targets) = {
+        let mut membership = shared.membership();
+        (membership.phase(now), membership.heartbeat_targets())
+    };
+    for VmAddress { vm, address } in targets {
+        let (sequence, echo) = shared.membership().next_heartbeat(now, &vm);
+        let heartbeat = Heartbeat {
+            address: shared.peer_address,
+            incarnation: shared.incarnation,
+            sequence,
+            echo,
+            config_version,
+            phase,
+            pools: pools.clone(),
+        };
+        shared.peers.send_datagram(&vm, address, PeerDatagram::Heartbeat(heartbeat));
+    }
+}
+
+/// Gives up what other VMs own now. Called whenever the set of candidates may have changed.
+pub(super) fn on_view_change(context: &Rc<VmContext>) {
+    for (vm, handover) in release_buckets(&context.shared) {
+        send_in_background(context, vm, PeerRequest::Handover(handover));
+    }
+    let own = Some(&context.settings().vm);
+    let owned = |model: &ModelName| context.shared.owner(&pool_key(model)).as_ref() == own;
+    context.shared.pools.retain(owned);
+    context.shared.wake_jobs();
+}
+
+async fn follow_fleet(context: Rc<VmContext>) {
+    let settings = context.settings();
+    context.shared.membership().set_roster(settings.seeds.clone());
+    loop {
+        match context.fleet_list.fetch().await {
+            Ok(listing) => {
+                let mut fleet = context.shared.fleet();
+                let changed = fleet.set_listing(listing);
+                let roster = fleet.vms_of(&settings.data_centre);
+                drop(fleet);
+                if changed {
+                    context.shared.membership().set_roster(roster);
+                    set_pool_targets(&context);
+                }
+            }
+            Err(error) => log::debug!("fleet: The list could not be read: {error}."),
+        }
+        ntex::time::sleep(FLEET_INTERVAL).await;
+    }
+}
+
+fn set_pool_targets(context: &VmContext) {
+    for model in context.shared.pools.models() {
+        let entries = context.shared.fleet().engines(&context.settings().data_centre, &model);
+        let now = monotonic();
+        context.shared.pools.update(&model, |scheduler| scheduler.set_targets(now, &entries));
+    }
+}
+
+async fn follow_config(context: Rc<VmContext>) {
+    let store = ConfigStore::open(Rc::clone(&context.table), Rc::clone(&context.objects));
+    loop {
+        if is_config_reader(&context) {
+            read_config(&context, &store).await;
+        }
+        ask_members(&context).await;
+        ntex::time::sleep(CONFIG_INTERVAL).await;
+    }
+}
+
+/// Two VMs of a data centre read the platform for all; a VM without any configuration reads too.
+fn is_config_reader(context: &VmContext) -> bool {
+    let candidates = context.shared.membership().candidates(monotonic());
+    let readers = ranked("config", &candidates);
+    let first = context.shared.with_config(|config| config.version) == ConfigVersion::default();
+    first || readers.into_iter().take(CONFIG_READERS).any(|vm| *vm == context.settings().vm)
+}
+
+async fn read_config(context: &Rc<VmContext>, store: &ConfigStore) {
+    let version = context.shared.with_config(|config| config.version);
+    match store.read_after(version).await {
+        Ok(None) => {}
+        Ok(Some(reply)) => {
+            let applied = apply_reply(context, reply);
+            announce(context, &applied, false);
+        }
+        Err(error) => log::debug!("config: The platform could not be read: {error}."),
+    }
+}
+
+/// Asks a VM that is ahead, known from its heartbeats or digests, for what is missing.
+async fn ask_members(context: &Rc<VmContext>) {
+    let version = context.shared.with_config(|config| config.version);
+    let Some(vm) = vm_ahead(context, version) else { return };
+    let query = PeerRequest::Changes(ChangeQuery { after: version });
+    if let Ok(PeerReply::Changes(reply)) = context.shared.request(&vm, query, CALL_TIMEOUT).await {
+        apply_reply(context, reply);
+    }
+}
+
+fn vm_ahead(context: &VmContext, version: ConfigVersion) -> Option<VmId> {
+    let membership = context.shared.membership();
+    let ahead = membership.members().filter(|(_, record)| record.config_version > version);
+    let near = ahead.max_by_key(|(_, record)| record.config_version).map(|(vm, _)| vm.clone());
+    drop(membership);
+    near.or_else(|| {
+        let settings = context.settings();
+        let fleet = context.shared.fleet();
+        let digests = settings.data_centres.iter().filter_map(|id| fleet.digest(monotonic(), id));
+        let far = digests.into_iter().find(|digest| digest.config_version > version)?;
+        far.vms.first().map(|entry| entry.vm.clone())
+    })
+}
+
+async fn drive_pools(context: Rc<VmContext>) {
+    loop {
+        take_over_pools(&context);
+        let out = context.shared.is_out();
+        let revokes = context.shared.pools.tick(monotonic(), out);
+        send_revokes(&context, revokes);
+        ntex::time::sleep(POOL_INTERVAL).await;
+    }
+}
+
+/// Schedules every pool that falls to this VM.
+fn take_over_pools(context: &Rc<VmContext>) {
+    let own = &context.settings().vm;
+    let data_centre = &context.settings().data_centre;
+    let models = context.shared.fleet().models_of(data_centre);
+    for model in models {
+        if context.shared.owner(&pool_key(&model)).as_ref() != Some(own) {
+            continue;
+        }
+        let members = holders(context);
+        if !context.shared.pools.take_over(monotonic(), &model, members) {
+            continue;
+        }
+        log::info!("scheduling: Schedules the pool of `{model}`.");
+        let entries = context.shared.fleet().engines(data_centre, &model);
+        let now = monotonic();
+        context.shared.pools.update(&model, |scheduler| scheduler.set_targets(now, &entries));
+        ntex::rt::spawn(reconcile_pool(Rc::clone(context), model));
+    }
+}
+
+/// Every VM that may hold leases of this data centre's pools, the VM itself included.
+fn holders(context: &VmContext) -> Vec<VmId> {
+    let members = context.shared.membership();
+    members.members().map(|(vm, _)| vm.clone()).chain([context.settings().vm.clone()]).collect()
+}
+
+async fn reconcile_leases(context: Rc<VmContext>) {
+    loop {
+        ntex::time::sleep(RECONCILE_INTERVAL).await;
+        for model in context.shared.pools.models() {
+            reconcile_pool(Rc::clone(&context), model).await;
+        }
+    }
+}
+
+/// Compares the leases of a pool with what their holders say.
+async fn reconcile_pool(context: Rc<VmContext>, model: ModelName) {
+    for holder in holders(&context) {
+        let held = if holder == context.settings().vm {
+            context.shared.held.list(&model)
+        } else {
+            let query = PeerRequest::Held(HeldQuery { model: model.clone() });
+            match context.shared.request(&holder, query, CALL_TIMEOUT).await {
+                Ok(PeerReply::Held(held)) => held,
+                Ok(_) | Err(_) => continue,
+            }
+        };
+        let revokes = context.shared.pools.reconcile(monotonic(), &model, &holder, &held.held);
+        send_revokes(&context, revokes);
+    }
+}
+
+async fn watch_targets(context: Rc<VmContext>) {
+    let mut round = 0;
+    loop {
+        round += 1;
+        for model in context.shared.pools.models() {
+            let due = |state: &crate::scheduling::TargetState| {
+                let cold = state.warmth != crate::scheduling::TargetWarmth::Warm;
+                (cold || round % STATUS_ROUNDS_WHEN_WARM == 0)
+                    .then(|| (state.target.clone(), state.address.clone()))
+            };
+            let targets = context.shared.pools.update(&model, |scheduler| {
+                scheduler.targets().filter_map(due).collect::<Vec<_>>()
+            });
+            for (target, address) in targets.unwrap_or_default() {
+                ntex::rt::spawn(watch_target(Rc::clone(&context), model.clone(), target, address));
+            }
+        }
+        ntex::time::sleep(COLD_STATUS_INTERVAL).await;
+    }
+}
+
+async fn watch_target(context: Rc<VmContext>, model: ModelName, target: TargetId, address: String) {
+    let engines = &context.engines;
+    if let Ok(status) = engines.status(&address).await {
+        let (start, warm) = (status.start_id, status.warm);
+        let now = monotonic();
+        let pools = &context.shared.pools;
+        pools.update(&model, |scheduler| scheduler.note_status(now, &target, start, warm));
+    }
+    let after = context.shared.pools.update(&model, |scheduler| scheduler.cache_position(&target));
+    let Ok(report) = engines.cache(&address, after).await else { return };
+    if context.shared.pools.note_cache(&model, &target, report)
+        && let Ok(listing) = engines.cache(&address, None).await
+    {
+        context.shared.pools.note_cache(&model, &target, listing);
+    }
+}
+
+async fn send_digests(context: Rc<VmContext>) {
+    let settings = context.settings();
+    let others = settings.data_centres.len() as u32;
+    let interval = BASE_DIGEST_INTERVAL.max(DIGEST_INTERVAL_PER_DATA_CENTRE * others);
+    loop {
+        for data_centre in &settings.data_centres {
+            let key = format!("digest/{data_centre}");
+            let sends = context.shared.owner(&key).as_ref() == Some(&settings.vm);
+            if *data_centre == settings.data_centre || !sends {
+                continue;
+            }
+            if let Some(vm) = digest_receiver(&context, data_centre) {
+                send_in_background(&context, vm, PeerRequest::Digest(own_digest(&context)));
+            }
+        }
+        ntex::time::sleep(interval).await;
+    }
+}
+
+/// Some VM of another data centre, another one each time, so that a lost one does not matter.
+fn digest_receiver(context: &VmContext, data_centre: &crate::ids::DataCentreId) -> Option<VmId> {
+    let fleet = context.shared.fleet();
+    let known = fleet.digest(monotonic(), data_centre).map(|digest| digest.vms.clone());
+    let vms = known.unwrap_or_else(|| fleet.vms_of(data_centre));
+    let index = rand::random_range(0..vms.len().max(1));
+    vms.get(index).map(|entry| entry.vm.clone())
+}
+
+fn own_digest(context: &VmContext) -> DataCentreDigest {
+    let shared = &context.shared;
+    let candidates = shared.membership().candidates(monotonic());
+    let membership = shared.membership();
+    let own_version = shared.with_config(|config| config.version);
+    let versions = membership.members().map(|(_, record)| record.config_version);
+    let config_version = versions.min().map_or(own_version, |least| least.min(own_version));
+    let address = |vm: &VmId| match membership.member(vm) {
+        Some(record) => record.address,
+        None => shared.peer_address,
+    };
+    let vms = candidates.iter().map(|vm| VmAddress { vm: vm.clone(), address: address(vm) });
+    DataCentreDigest {
+        data_centre: shared.settings.data_centre.clone(),
+        sequence: crate::clock::unix_millis(),
+        vms: vms.collect(),
+        config_version,
+        pools: shared.fleet().own_pools().cloned().collect(),
+        relay: true,
+    }
+}
+
+async fn compact_limits(context: Rc<VmContext>) {
+    loop {
+        ntex::time::sleep(COMPACT_INTERVAL).await;
+        compact(&context.shared);
+    }
+}
+
+async fn follow_jobs(context: Rc<VmContext>, leads: Rc<JobLeads>) {
+    loop {
+        if !context.shared.is_stopping()
+            && let Err(error) = scan_jobs(&context, &leads).await
+        {
+            log::debug!("jobs: The active jobs could not be read: {error}.");
+        }
+        context.shared.jobs_woken(JOB_SCAN_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/ebonydock_bench/src/demo/mod.rs
@@ -0,0 +1,174 @@
+//! `demo`: a whole site in one process, used once in each of its three ways.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ebonydock_standins::{
+    CALLER_KEYS, SiteClient, SitePlan, StandInSite, chat_body, expected_answer,
+};
+use futures_util::StreamExt;
+use getopts::Options;
+use ntex::http::Method;
+use serde_json::Value;
+
+const MODEL: &str = "clerk-8b";
+const ITEMS: usize = 200;
+const TOKENS: u32 = 24;
+
+/// Runs the demo.
+pub(crate) fn run(arguments: &[String]) -> Result<(), String> {
+    let mut options = Options::new();
+    options.optflag("", "keep", "leave the site serving");
+    let matches = options.parse(arguments).map_err(|error| error.to_string())?;
+    let folder = std::env::temp_dir().join(format!("ebonydock-demo-{}", std::process::id()));
+    let site = StandInSite::open(&SitePlan::default(), &folder).map_err(|e| e.to_string())?;
+    let system = ntex::rt::System::new("demo", ntex::rt::DefaultRuntime);
+    let result = system.block_on(async move {
+        let result = show(&site).await;
+        if result.is_ok() && matches.opt_present("keep") {
+            keep(&site).await;
+        }
+        drop(site);
+        result
+    });
+    let _ = std::fs::remove_dir_all(&folder);
+    result
+}
+
+async fn show(site: &StandInSite) -> Result<(), String> {
+    let client = SiteClient::open().await;
+    site.configure(&client).await.map_err(|error| error.to_string())?;
+    let address = site.callers(0).ok_or("no VM runs")?;
+    println!("site: 2 data centres, 4 VMs, 4 engines, 2 notice servers");
+    show_answer(&client, address).await?;
+    show_job(&client, address).await?;
+    show_notice(&client, site, address).await?;
+    let leaked: u64 = site.services.iter().map(|(_, service)| service.leaked_keys()).sum();
+    let engines = site.engines.iter().filter_map(|engine| engine.engine.as_ref());
+    let leaked = leaked + engines.map(|engine| engine.counters().leaked_keys).sum::<u64>();
+    expect(leaked == 0, "a caller's key reached a target")?;
+    println!("keys: none reached a target");
+    Ok(())
+}
+
+fn expect(holds: bool, failure: &str) -> Result<(), String> {
+    if holds { Ok(()) } else { Err(format!("failed: {failure}")) }
+}
+
+async fn show_answer(client: &SiteClient, address: SocketAddr) -> Result<(), String> {
+    let question = "When is the wedding band ready?";
+    let body = chat_body(MODEL, question, TOKENS, true);
+    let url = format!("http://{address}/v1/chat/completions");
+    let key = format!("{CALLER_KEYS}zlatnik");
+    let began = std::time::Instant::now();
+    let response = client.send(Method::POST, url, Some(&key), &[], body).await;
+    let response = response.map_err(|error| error.to_string())?;
+    if !response.status().is_success() {
+        let body = response.body().await.unwrap_or_default();
+        return Err(format!("failed: the answer was refused: {}", String::from_utf8_lossy(&body)));
+    }
+    let mut stream = response.take_payload();
+    let mut text = String::new();
+    let mut first = None;
+    while let Some(part) = stream.next().await {
+        first.get_or_insert_with(|| began.elapsed());
+        text.push_str(&String::from_utf8_lossy(&part.map_err(|error| error.to_string())?));
+    }
+    let answer: String = text.lines().filter_map(content_of).collect();
+    let prompt = format!("<|user|>\n{question}\n");
+    expect(answer == expected_answer(&prompt, TOKENS), "the answer is not the engine's")?;
+    let first = first.unwrap_or_default();
+    println!(
+        "answer: {TOKENS} tokens, first after {first:.0?}, whole after {:.0?}",
+        began.elapsed()
+    );
+    Ok(())
+}
+
+fn content_of(line: &str) -> Option<String> {
+    let event: Value = serde_json::from_str(line.strip_prefix("data: ")?).ok()?;
+    event["choices"][0]["delta"]["content"].as_str().map(str::to_owned)
+}
+
+async fn show_job(client: &SiteClient, address: SocketAddr) -> Result<(), String> {
+    let line = |index: usize| {
+        let body = serde_json::json!({
+            "model": MODEL, "prompt": format!("estimate {index}"), "max_tokens": 4,
+        });
+        format!("{}\n", serde_json::json!({ "custom_id": format!("item-{index}"), "body": body }))
+    };
+    let items: String = (0..ITEMS).map(line).collect();
+    let key = format!("{CALLER_KEYS}association");
+    let base = format!("http://{address}/v1/batches");
+    let url = format!("{base}?name=demo&due_in_s=600");
+    let began = std::time::Instant::now();
+    let (status, text) = client.call(Method::POST, url, Some(&key), &[], items).await;
+    expect(status == 200, &format!("the job was refused: {text}"))?;
+    let deadline = began + Duration::from_secs(40);
+    loop {
+        let url = format!("{base}/demo");
+        let (_, text) = client.call(Method::GET, url, Some(&key), &[], "").await;
+        let report: Value = serde_json::from_str(&text).unwrap_or_default();
+        if report["status"] == "completed" {
+            break;
+        }
+        expect(std::time::Instant::now() < deadline, &format!("the job did not end: {text}"))?;
+        ntex::time::sleep(Duration::from_millis(100)).await;
+    }
+    let took = began.elapsed();
+    let url = format!("{base}/demo/results");
+    let (_, results) = client.call(Method::GET, url, Some(&key), &[], "").await;
+    let mut names = std::collections::BTreeSet::new();
+    for line in results.lines() {
+        let result: Value = serde_json::from_str(line).map_err(|error| error.to_string())?;
+        let name = result["custom_id"].as_str().unwrap_or_default().to_owned();
+        let prompt = name.replace("item-", "estimate ");
+        expect(result["text"] == expected_answer(&prompt, 4), "a result is not the engine's")?;
+        expect(names.insert(name), "an item is there twice")?;
+    }
+    expect(names.len() == ITEMS, "an item is missing")?;
+    println!("job: {ITEMS} items completed and read after {took:.1?}");
+    Ok(())
+}
+
+async fn show_notice(
+    client: &SiteClient,
+    site: &StandInSite,
+    address: SocketAddr,
+) -> Result<(), String> {
+    let key = format!("{CALLER_KEYS}zlatnik");
+    let headers = [("idempotency-key", "pickup-4711"), ("content-type", "text/plain")];
+    for _ in 0..2 {
+        let url = format!("http://{address}/services/notices/send/pickup");
+        let body = "the band is ready";
+        let (status, text) = client.call(Method::POST, url, Some(&key), &headers, body).await;
+        expect(status == 200, &format!("the notice was refused: {text}"))?;
+    }
+    let services = site.services.iter();
+    let delivered: u64 = services.flat_map(|(_, service)| service.deliveries().into_values()).sum();
+    expect(delivered == 1, &format!("the notice was delivered {delivered} times"))?;
+    println!("notice: sent twice by its caller, delivered once");
+    Ok(())
+}
+
+async fn keep(site: &StandInSite) {
+    let Some(address) = site.callers(0) else { return };
+    let key = format!("{CALLER_KEYS}zlatnik");
+    println!("\nserving at {address}, key {key}; end with Ctrl-C. Try:");
+    println!(
+        "curl -N http://{address}/v1/chat/completions -H 'authorization: Bearer {key}' \
+         -d '{{\"model\":\"{MODEL}\",\"stream\":true,\"max_tokens\":20,\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"When is it ready?\"}}]}}'"
+    );
+    println!(
+        "curl 'http://{address}/v1/batches?name=first&due_in_s=600' \
+         -H 'authorization: Bearer {key}' \
+         -d '{{\"custom_id\":\"a\",\"body\":{{\"model\":\"{MODEL}\",\"prompt\":\"estimate\"}}}}'"
+    );
+    println!("curl http://{address}/v1/batches/first/results -H 'authorization: Bearer {key}'");
+    println!(
+        "curl http://{address}/services/notices/send/pickup \
+         -H 'authorization: Bearer {key}' -H 'idempotency-key: 1' -d 'ready'"
+    );
+    std::future::pending::<()>().await;
+}
--- /dev/null
+++ b/crates/ebonydock_bench/src/main.rs
@@ -0,0 +1,55 @@
+//! `ebonydock_bench`: the demo, the load tool and the experiments.
+
+mod demo;
+
+use std::process::ExitCode;
+
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::config::{Appender, Config, Logger, Root};
+
+const USAGE: &str = "\
+Usage: ebonydock_bench COMMAND [OPTIONS]
+
+Commands:
+  demo [--keep]   a whole site in one process: a streamed answer, a batch job and a notice
+";
+
+/// Logs to standard error when `EBONYDOCK_LOG` names a level.
+fn open_logs() {
+    let Some(level) = std::env::var("EBONYDOCK_LOG").ok().and_then(|level| level.parse().ok())
+    else {
+        return;
+    };
+    let console = ConsoleAppender::builder().target(Target::Stderr).build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(console)))
+        .logger(Logger::builder().build("ebonydock", level))
+        .build(Root::builder().appender("stderr").build(log::LevelFilter::Warn));
+    if let Ok(config) = config {
+        let _ = log4rs::init_config(config);
+    }
+}
+
+fn main() -> ExitCode {
+    open_logs();
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let Some((command, rest)) = arguments.split_first() else {
+        print!("{USAGE}");
+        return ExitCode::from(2);
+    };
+    let result = match command.as_str() {
+        "demo" => demo::run(rest),
+        "help" | "--help" | "-h" => {
+            print!("{USAGE}");
+            Ok(())
+        }
+        other => Err(format!("unknown command `{other}`\n\n{USAGE}")),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/ebonydock_standins/src/certificates.rs
@@ -0,0 +1,40 @@
+//! Certificates for the messages between VMs.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+
+/// The files that `make_certificates` wrote.
+#[derive(Clone, Debug)]
+pub struct PeerCertificates {
+    /// The authority.
+    pub authority: PathBuf,
+    /// The certificate that every VM of a test uses.
+    pub certificate: PathBuf,
+    /// Its private key.
+    pub private_key: PathBuf,
+}
+
+/// Makes an authority and a certificate for the name that VMs expect, and writes them into `folder`.
+pub fn make_certificates(folder: &Path) -> io::Result<PeerCertificates> {
+    let failed = |error: rcgen::Error| io::Error::other(error.to_string());
+    let mut params = CertificateParams::new(Vec::new()).map_err(failed)?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let authority_key = KeyPair::generate().map_err(failed)?;
+    let authority = params.self_signed(&authority_key).map_err(failed)?;
+    let issuer = Issuer::new(params, authority_key);
+    let params = CertificateParams::new(vec!["ebonydock".to_owned()]).map_err(failed)?;
+    let key = KeyPair::generate().map_err(failed)?;
+    let certificate = params.signed_by(&key, &issuer).map_err(failed)?;
+    std::fs::create_dir_all(folder)?;
+    let files = PeerCertificates {
+        authority: folder.join("authority.pem"),
+        certificate: folder.join("vm.pem"),
+        private_key: folder.join("vm.key"),
+    };
+    std::fs::write(&files.authority, authority.pem())?;
+    std::fs::write(&files.certificate, certificate.pem())?;
+    std::fs::write(&files.private_key, key.serialize_pem())?;
+    Ok(files)
+}
--- /dev/null
+++ b/crates/ebonydock_standins/src/engine.rs
@@ -0,0 +1,463 @@
+//! A model engine with continuous batching, a prefix cache in limited memory and a cold start.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use ebonydock::{EngineCache, EngineEvent, EngineOrder, EngineStatus, GenerateRequest, ModelName};
+use futures_util::stream;
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::types::{Json, JsonConfig, Query, State};
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Notify, mpsc};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::server::ServerThread;
+
+const PREFIX_BYTES: usize = 256;
+const BYTES_PER_TOKEN: usize = 4;
+const BODY_LIMIT: usize = 8 * 1024 * 1024;
+/// A cached prefix saves this part of reading the prompt.
+const CACHED_PART: f64 = 0.8;
+const KEPT_EVENTS: usize = 64;
+const WORDS: [&str; 16] = [
+    "resize", "band", "solder", "polish", "stone", "prong", "clasp", "chain", "kraft", "handle",
+    "gusset", "grammage", "ply", "flexo", "fold", "bale",
+];
+
+/// How fast an engine is and what it bears.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct EngineShape {
+    /// The models that it has loaded.
+    pub models: Vec<ModelName>,
+    /// The time of a step that generates one token for each sequence, in microseconds.
+    pub step_us: u64,
+    /// What each sequence adds to a step, in microseconds.
+    pub sequence_us: u64,
+    /// Beyond this many sequences each one adds ten times as much.
+    pub knee: u32,
+    /// The time to read one token of a prompt, in microseconds.
+    pub prompt_us: u64,
+    /// Prefixes that fit into its cache.
+    pub cached_prefixes: usize,
+    /// How long a cold start takes, in milliseconds.
+    pub cold_ms: u64,
+    /// More sequences than this in a cold start topple the engine: it starts again.
+    pub cold_sequences: u32,
+    /// Its status is this old, in milliseconds.
+    pub status_lag_ms: u64,
+    /// Whether it refuses orders that carry an old fencing number.
+    pub checks_fence: bool,
+    /// Whether it starts cold.
+    pub starts_cold: bool,
+}
+
+impl Default for EngineShape {
+    fn default() -> Self {
+        Self {
+            models: vec![ModelName::from("clerk-8b")],
+            step_us: 20_000,
+            sequence_us: 100,
+            knee: 32,
+            prompt_us: 50,
+            cached_prefixes: 32,
+            cold_ms: 3000,
+            cold_sequences: 2,
+            status_lag_ms: 300,
+            checks_fence: true,
+            starts_cold: false,
+        }
+    }
+}
+
+/// What happened at an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct EngineCounters {
+    /// Requests taken.
+    pub requests: u64,
+    /// Answers completed.
+    pub completed: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Prompts whose prefix was cached.
+    pub cache_hits: u64,
+    /// Times that a cold start was toppled.
+    pub topples: u64,
+    /// The most sequences at once.
+    pub most_running: u32,
+    /// The most sequences at once during cold starts.
+    pub most_cold: u32,
+    /// Requests that carried a header that only callers know.
+    pub leaked_keys: u64,
+    /// Orders refused because of their fencing number.
+    pub fenced: u64,
+}
+
+struct Sequence {
+    request_id: String,
+    seed: u64,
+    next: u32,
+    end: u32,
+    crash: bool,
+    unread_tokens: u64,
+    sender: mpsc::UnboundedSender<EngineEvent>,
+}
+
+struct EngineState {
+    shape: EngineShape,
+    start_id: u64,
+    cold_until: Instant,
+    running: Vec<Sequence>,
+    cache: VecDeque<u64>,
+    events: VecDeque<(u64, bool)>,
+    first_event: u64,
+    status: EngineStatus,
+    status_at: Instant,
+    highest_fence: u64,
+    crossed: bool,
+    frozen: bool,
+    counters: EngineCounters,
+}
+
+#[derive(Clone)]
+struct SharedEngine {
+    state: Arc<Mutex<EngineState>>,
+    work: Arc<Notify>,
+}
+
+/// A running engine.
+pub struct EngineStandIn {
+    engine: SharedEngine,
+    server: ServerThread,
+}
+
+/// The token of an answer: the same on every engine, so that answers can be checked.
+fn token(seed: u64, index: u32) -> String {
+    let word = WORDS[(seed.rotate_left(index % 64) ^ u64::from(index)) as usize % WORDS.len()];
+    format!("{word} ")
+}
+
+/// The whole answer to a prompt.
+pub fn expected_answer(prompt: &str, tokens: u32) -> String {
+    let seed = xxh3_64(prompt.as_bytes());
+    (0..tokens).map(|index| token(seed, index)).collect()
+}
+
+impl SharedEngine {
+    fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn run(self) {
+        loop {
+            let step = self.lock().step_time();
+            let Some(step) = step else {
+                self.work.notified().await;
+                continue;
+            };
+            tokio::time::sleep(step).await;
+            self.lock().step();
+        }
+    }
+}
+
+impl EngineState {
+    fn open(shape: EngineShape) -> Self {
+        let now = Instant::now();
+        let cold = if shape.starts_cold { shape.cold_ms } else { 0 };
+        Self {
+            start_id: rand::random(),
+            cold_until: now + Duration::from_millis(cold),
+            running: Vec::new(),
+            cache: VecDeque::new(),
+            events: VecDeque::new(),
+            first_event: 0,
+            status: EngineStatus::default(),
+            status_at: now.checked_sub(Duration::from_mins(1)).unwrap(),
+            highest_fence: 0,
+            crossed: false,
+            frozen: false,
+            counters: EngineCounters::default(),
+            shape,
+        }
+    }
+
+    fn is_cold(&self) -> bool {
+        Instant::now() < self.cold_until
+    }
+
+    /// Loses everything and starts cold.
+    fn restart(&mut self) {
+        self.start_id = rand::random();
+        self.cold_until = Instant::now() + Duration::from_millis(self.shape.cold_ms);
+        self.running.clear();
+        self.cache.clear();
+        self.events.clear();
+        self.first_event = 0;
+    }
+
+    fn step_time(&self) -> Option<Duration> {
+        if self.running.is_empty() || self.frozen {
+            return None;
+        }
+        let count = self.running.len() as u64;
+        let beyond = count.saturating_sub(self.shape.knee.into());
+        let sequences = (count + 9 * beyond) * self.shape.sequence_us;
+        let unread: u64 = self.running.iter().map(|sequence| sequence.unread_tokens).sum();
+        let micros = self.shape.step_us + sequences + unread * self.shape.prompt_us;
+        Some(Duration::from_micros(micros))
+    }
+
+    fn step(&mut self) {
+        let crossed = self.crossed && self.running.len() > 1;
+        let names: Vec<String> = self.running.iter().map(|s| s.request_id.clone()).collect();
+        let mut crashed = false;
+        let mut index = 0;
+        let counters = &mut self.counters;
+        self.running.retain_mut(|sequence| {
+            sequence.unread_tokens = 0;
+            index += 1;
+            let name = if crossed { &names[index % names.len()] } else { &sequence.request_id };
+            crashed |= sequence.crash && sequence.next > 1;
+            let done = sequence.next >= sequence.end;
+            let event = EngineEvent {
+                request_id: name.clone(),
+                index: sequence.next,
+                text: if done { String::new() } else { token(sequence.seed, sequence.next) },
+                finish_reason: done.then(|| "stop".to_owned()),
+            };
+            sequence.next += 1;
+            counters.tokens += u64::from(!done);
+            counters.completed += u64::from(done);
+            sequence.sender.send(event).is_ok() && !done
+        });
+        if crashed {
+            self.restart();
+        }
+    }
+
+    fn admit(&mut self, request: &GenerateRequest) -> mpsc::UnboundedReceiver<EngineEvent> {
+        let prompt = request.prompt.as_bytes();
+        let cached = prompt.get(..PREFIX_BYTES).is_some_and(|prefix| self.touch(xxh3_64(prefix)));
+        let tokens = (prompt.len() / BYTES_PER_TOKEN + 1) as f64;
+        let unread = if cached { tokens * (1.0 - CACHED_PART) } else { tokens };
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.running.push(Sequence {
+            request_id: request.request_id.clone(),
+            seed: xxh3_64(prompt),
+            next: request.generated_tokens,
+            end: request.max_tokens,
+            crash: request.prompt.contains("[crash]"),
+            unread_tokens: unread as u64 + u64::from(request.generated_tokens),
+            sender,
+        });
+        let running = self.running.len() as u32;
+        self.counters.requests += 1;
+        self.counters.cache_hits += u64::from(cached);
+        self.counters.most_running = self.counters.most_running.max(running);
+        if self.is_cold() {
+            self.counters.most_cold = self.counters.most_cold.max(running);
+            if running > self.shape.cold_sequences {
+                self.counters.topples += 1;
+                self.restart();
+            }
+        }
+        receiver
+    }
+
+    /// Looks a prefix up and stores it.
+    fn touch(&mut self, prefix: u64) -> bool {
+        let known = self.cache.iter().position(|held| *held == prefix);
+        if let Some(position) = known {
+            self.cache.remove(position);
+        } else {
+            self.note_event(prefix, true);
+        }
+        self.cache.push_back(prefix);
+        if self.cache.len() > self.shape.cached_prefixes
+            && let Some(evicted) = self.cache.pop_front()
+        {
+            self.note_event(evicted, false);
+        }
+        known.is_some()
+    }
+
+    fn note_event(&mut self, prefix: u64, stored: bool) {
+        self.events.push_back((prefix, stored));
+        if self.events.len() > KEPT_EVENTS {
+            self.events.pop_front();
+            self.first_event += 1;
+        }
+    }
+
+    fn refresh_status(&mut self) -> EngineStatus {
+        if self.status_at.elapsed() >= Duration::from_millis(self.shape.status_lag_ms) {
+            self.status_at = Instant::now();
+            let status = EngineStatus {
+                start_id: self.start_id,
+                warm: !self.is_cold(),
+                running: self.running.len() as u32,
+                models: self.shape.models.clone(),
+            };
+            if self.status.start_id == 0 {
+                self.status = status.clone();
+            }
+            return std::mem::replace(&mut self.status, status);
+        }
+        self.status.clone()
+    }
+}
+
+impl EngineStandIn {
+    /// Starts an engine.
+    pub fn spawn(address: SocketAddr, shape: EngineShape) -> std::io::Result<Self> {
+        let engine = SharedEngine {
+            state: Arc::new(Mutex::new(EngineState::open(shape))),
+            work: Arc::new(Notify::new()),
+        };
+        let run = engine.clone().run();
+        let server = ServerThread::spawn(address, engine.clone(), configure, run)?;
+        Ok(Self { engine, server })
+    }
+
+    /// Where the engine listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Breaks every answer off and starts cold.
+    pub fn restart(&self) {
+        self.engine.lock().restart();
+    }
+
+    /// Sends events of one answer to another while `crossed`.
+    pub fn set_crossed(&self, crossed: bool) {
+        self.engine.lock().crossed = crossed;
+    }
+
+    /// Generates nothing while `frozen`.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.engine.lock().frozen = frozen;
+        self.engine.work.notify_one();
+    }
+
+    /// Sequences that run now.
+    pub fn running(&self) -> usize {
+        self.engine.lock().running.len()
+    }
+
+    /// What happened so far.
+    pub fn counters(&self) -> EngineCounters {
+        self.engine.lock().counters
+    }
+
+    /// The shape.
+    pub fn shape(&self) -> EngineShape {
+        self.engine.lock().shape.clone()
+    }
+}
+
+fn configure(config: &mut ServiceConfig) {
+    config
+        .state(JsonConfig::default().limit(BODY_LIMIT))
+        .route("/v1/generate", web::post().to(generate))
+        .route("/status", web::get().to(status))
+        .route("/cache", web::get().to(cache))
+        .route("/orders", web::post().to(order));
+}
+
+#[derive(Debug)]
+struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("broken off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+async fn generate(
+    engine: State<SharedEngine>,
+    request: HttpRequest,
+    body: Json<GenerateRequest>,
+) -> HttpResponse {
+    let leaked = request.headers().get("authorization").is_some();
+    let (events, start_id) = {
+        let mut state = engine.lock();
+        state.counters.leaked_keys += u64::from(leaked);
+        if !state.shape.models.contains(&body.model) {
+            return HttpResponse::build(StatusCode::BAD_REQUEST).body("the model is not loaded");
+        }
+        if body.prompt.contains("[reject]") {
+            return HttpResponse::build(StatusCode::BAD_REQUEST).body("the prompt is not allowed");
+        }
+        (state.admit(&body), state.start_id)
+    };
+    engine.work.notify_one();
+    let parts = stream::unfold((events, false), |(mut events, done)| async move {
+        if done {
+            return None;
+        }
+        let Some(event) = events.recv().await else {
+            return Some((Err(BrokenOff), (events, true)));
+        };
+        let done = event.finish_reason.is_some();
+        let json = serde_json::to_string(&event).unwrap_or_default();
+        Some((Ok(Bytes::from(format!("data: {json}\n\n"))), (events, done)))
+    });
+    HttpResponse::build(StatusCode::OK)
+        .content_type("text/event-stream")
+        .set_header("x-start-id", start_id.to_string())
+        .streaming(Box::pin(parts))
+}
+
+async fn status(engine: State<SharedEngine>) -> HttpResponse {
+    let status = engine.lock().refresh_status();
+    HttpResponse::build(StatusCode::OK).json(&status)
+}
+
+#[derive(Deserialize)]
+struct CacheQuery {
+    after: Option<u64>,
+}
+
+async fn cache(engine: State<SharedEngine>, query: Query<CacheQuery>) -> HttpResponse {
+    let state = engine.lock();
+    let next = state.first_event + state.events.len() as u64;
+    let report = match query.after {
+        Some(after) => {
+            let skip = after.saturating_sub(state.first_event).min(state.events.len() as u64);
+            EngineCache {
+                position: state.first_event + skip,
+                listing: false,
+                entries: state.events.iter().skip(skip as usize).copied().collect(),
+            }
+        }
+        None => EngineCache {
+            position: next,
+            listing: true,
+            entries: state.cache.iter().map(|prefix| (*prefix, true)).collect(),
+        },
+    };
+    HttpResponse::build(StatusCode::OK).json(&report)
+}
+
+async fn order(engine: State<SharedEngine>, order: Json<EngineOrder>) -> HttpResponse {
+    let mut state = engine.lock();
+    if state.shape.checks_fence && order.fence < state.highest_fence {
+        state.counters.fenced += 1;
+        return HttpResponse::build(StatusCode::CONFLICT).body("the fencing number is old");
+    }
+    state.highest_fence = state.highest_fence.max(order.fence);
+    if !state.shape.models.contains(&order.load_model) {
+        let model = order.load_model.clone();
+        state.restart();
+        state.shape.models.push(model);
+    }
+    HttpResponse::build(StatusCode::OK).body("{}")
+}
--- /dev/null
+++ b/crates/ebonydock_standins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for the systems around ebonydock: platform, model engines, plain services, and a network
+//! that fails on command. Used by tests, the demo and the experiments.
+
+mod certificates;
+mod engine;
+mod platform;
+mod proxy;
+mod server;
+mod service;
+mod site;
+
+pub use certificates::{PeerCertificates, make_certificates};
+pub use engine::{EngineCounters, EngineShape, EngineStandIn, expected_answer};
+pub use platform::{PlatformCounters, PlatformFault, PlatformStandIn};
+pub use proxy::{FaultProxy, ProxyFault};
+pub use service::{ServiceFault, ServiceStandIn};
+pub use site::{
+    CALLER_KEYS, DataCentrePlan, OPERATOR_KEY, SiteClient, SiteEngine, SitePlan, SiteVm,
+    StandInSite, VmPlan, chat_body, engine_entry, settings_text,
+};
--- /dev/null
+++ b/crates/ebonydockd/src/main.rs
@@ -0,0 +1,50 @@
+//! The daemon that runs on every VM.
+
+mod logs;
+mod options;
+
+use std::io::Write;
+
+use ebonydock::{VmHandle, VmSettings};
+use miette::{IntoDiagnostic, Report, miette};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::options::DaemonOptions;
+
+fn main() -> miette::Result<()> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let Some(options) = DaemonOptions::parse(&arguments).map_err(|error| miette!(error))? else {
+        return Ok(());
+    };
+    let text = std::fs::read_to_string(&options.settings)
+        .map_err(|error| miette!("cannot read `{}`: {error}", options.settings))?;
+    let settings = VmSettings::parse(&options.settings, &text).map_err(Report::new)?;
+    if options.check {
+        println!("`{}` is valid", options.settings);
+        return Ok(());
+    }
+    logs::open(&options)?;
+    let handle = VmHandle::spawn(settings).map_err(|error| miette!(error))?;
+    let addresses = handle.addresses();
+    println!("callers {}", addresses.callers);
+    println!("operators {}", addresses.operators);
+    println!("peers {}", addresses.peers);
+    std::io::stdout().flush().into_diagnostic()?;
+    wait_for_signal()?;
+    handle.stop();
+    Ok(())
+}
+
+/// Waits for the signal that asks for a planned stop.
+fn wait_for_signal() -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.into_diagnostic()?.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+        let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        Ok(())
+    })
+}
