--- a/crates/ebonydock/src/clock.rs
+++ b/crates/ebonydock/src/clock.rs
@@ -5,13 +5,15 @@
 //! never used for safety.
 
 use std::sync::OnceLock;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
 
 static START: OnceLock<Instant> = OnceLock::new();
 
-/// Time since the process first asked for it, by the monotonic clock.
+/// Time since the process first asked for it, by the monotonic clock. Tests may pause it.
 pub fn monotonic() -> Duration {
-    START.get_or_init(Instant::now).elapsed()
+    Instant::now().saturating_duration_since(*START.get_or_init(Instant::now))
 }
 
 /// Seconds since the Unix epoch, by the wall clock.
--- a/crates/ebonydock/src/entry/batches.rs
+++ b/crates/ebonydock/src/entry/batches.rs
@@ -190,7 +190,7 @@
             Ok(body) => return Ok(body),
             Err(error) => last = error,
         }
-        ntex::time::sleep(READ_PAUSE).await;
+        tokio::time::sleep(READ_PAUSE).await;
     }
     Err(last)
 }
--- a/crates/ebonydock/src/entry/tests.rs
+++ b/crates/ebonydock/src/entry/tests.rs
@@ -1,1 +1,47 @@
-//! Tests of the slice.
+//! Tests of the interface for callers.
+
+use yare::parameterized;
+
+use crate::entry::prompt::AnswerBody;
+use crate::entry::prompt::{ChatMessage, prompt_of};
+use crate::entry::{Refusal, RefusalCode, parse_json};
+use crate::routing::AnswerError;
+
+fn message(content: &str) -> ChatMessage {
+    ChatMessage { role: "user".to_owned(), content: content.to_owned() }
+}
+
+#[parameterized(
+    neither = { None, vec![] },
+    both = { Some("a"), vec![message("b")] },
+    empty = { Some(""), vec![] },
+)]
+fn bad_prompts(prompt: Option<&str>, messages: Vec<ChatMessage>) {
+    assert!(prompt_of(prompt, &messages).is_err());
+}
+
+#[test]
+fn chats_become_prompts() {
+    insta::assert_json_snapshot!(prompt_of(None, &[message("resize?")]).unwrap(), @r#""<|user|>\nresize?\n""#);
+}
+
+#[parameterized(
+    busy = { AnswerError::Busy, false, true },
+    rejected_by_a_target = { AnswerError::Rejected("no".into()), true, false },
+    broken_off = { AnswerError::Failed(3, "cut".into()), true, false },
+)]
+fn not_run_is_true_only_before_a_target(error: AnswerError, reached: bool, not_run: bool) {
+    assert_eq!(Refusal::of_answer(&error, reached).not_run, not_run);
+}
+
+#[test]
+fn refusals_are_json() {
+    let refusal = Refusal::new(RefusalCode::Busy, "every target is busy");
+    insta::assert_snapshot!(refusal.json(), @r#"{"error":{"code":"busy","message":"every target is busy","not_run":true}}"#);
+}
+
+#[test]
+fn a_malformed_body_names_the_field() {
+    let refusal = parse_json::<AnswerBody>(br#"{"model":"m","max_tokens":"many"}"#).unwrap_err();
+    insta::assert_snapshot!(refusal.message, @r#"the body is not valid: max_tokens: invalid type: string "many", expected u32 at line 1 column 32"#);
+}
--- a/crates/ebonydock/src/jobs/acceptance.rs
+++ b/crates/ebonydock/src/jobs/acceptance.rs
@@ -168,7 +168,7 @@
             Err(error @ PlatformError::Unavailable(_)) => last = error,
             Err(error) => return Err(error),
         }
-        ntex::time::sleep(std::time::Duration::from_millis(150)).await;
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
     }
     Err(last)
 }
--- a/crates/ebonydock/src/jobs/lead.rs
+++ b/crates/ebonydock/src/jobs/lead.rs
@@ -159,12 +159,12 @@
                     }
                 }
                 () = notify.notified() => {}
-                () = ntex::time::sleep(WATCH_PAUSE) => shunned.clear(),
+                () = tokio::time::sleep(WATCH_PAUSE) => shunned.clear(),
             }
             match self.commit().await? {
                 CommitOutcome::Committed if self.ledger.is_complete() => return Ok(()),
                 CommitOutcome::Committed => {}
-                CommitOutcome::Unanswered => ntex::time::sleep(RETRY_PAUSE).await,
+                CommitOutcome::Unanswered => tokio::time::sleep(RETRY_PAUSE).await,
                 // Dropping the tasks cancels the chunks that run.
                 CommitOutcome::Fenced => return Ok(()),
             }
--- a/crates/ebonydock/src/jobs/worker.rs
+++ b/crates/ebonydock/src/jobs/worker.rs
@@ -59,7 +59,7 @@
             Ok(body) => return Ok(body),
             Err(error) => last = error,
         }
-        ntex::time::sleep(PAUSE).await;
+        tokio::time::sleep(PAUSE).await;
     }
     Err(last)
 }
@@ -68,7 +68,7 @@
 async fn put_results(context: &VmContext, name: &ObjectName, body: Bytes) -> PlatformResult<()> {
     loop {
         match put_object(context, name, body.clone()).await {
-            Err(PlatformError::Unavailable(_)) => ntex::time::sleep(PAUSE).await,
+            Err(PlatformError::Unavailable(_)) => tokio::time::sleep(PAUSE).await,
             result => return result,
         }
     }
@@ -131,10 +131,10 @@
         match session.next().await {
             Ok(TokenEvent::Token(_)) => {}
             Ok(TokenEvent::Done(_)) => return Ok(session),
-            Err(AnswerError::Busy) => ntex::time::sleep(PAUSE).await,
+            Err(AnswerError::Busy) => tokio::time::sleep(PAUSE).await,
             Err(AnswerError::NoTarget) if without_target < NO_TARGET_TRIES => {
                 without_target += 1;
-                ntex::time::sleep(PAUSE).await;
+                tokio::time::sleep(PAUSE).await;
             }
             Err(error) => return Err(error),
         }
--- a/crates/ebonydock/src/limits/admission.rs
+++ b/crates/ebonydock/src/limits/admission.rs
@@ -48,7 +48,7 @@
         if monotonic() + pause > deadline {
             return Err(pause);
         }
-        ntex::time::sleep(pause).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/ebonydock/src/limits/tests.rs
+++ b/crates/ebonydock/src/limits/tests.rs
@@ -11,7 +11,9 @@
 
 use crate::ids::{DataCentreId, VmId, WorkspaceId};
 use crate::limits::messages::{BucketRecord, GrantId, GrantReply, GrantRequest};
-use crate::limits::{BucketLedger, BucketOwner, BucketShare, DrawContext, SpendingAllowance, TokenLoan};
+use crate::limits::{
+    BucketLedger, BucketOwner, BucketShare, DrawContext, SpendingAllowance, TokenLoan,
+};
 use crate::membership::MembershipView;
 use crate::membership::messages::{Heartbeat, VmAddress};
 use crate::ownership::owner_of;
@@ -79,7 +81,8 @@
     let mut view = MembershipView::open(vm, now);
     let address = ([127, 0, 0, 1], 1).into();
     let first = data_centre * VMS_PER_DATA_CENTRE;
-    let roster = (first..first + VMS_PER_DATA_CENTRE).map(|index| VmAddress { vm: vm_name(index), address });
+    let roster =
+        (first..first + VMS_PER_DATA_CENTRE).map(|index| VmAddress { vm: vm_name(index), address });
     view.set_roster(roster.collect());
     view
 }
@@ -183,7 +186,8 @@
     }
 
     fn context(&self, now: Duration, index: usize) -> DrawContext {
-        let ids: Vec<DataCentreId> = DATA_CENTRES.iter().map(|id| DataCentreId::from(*id)).collect();
+        let ids: Vec<DataCentreId> =
+            DATA_CENTRES.iter().map(|id| DataCentreId::from(*id)).collect();
         let node = &self.nodes[index];
         let own = &ids[node.data_centre];
         let bucket = BucketShare::of_data_centre("zlatnik", RATE, BURST, own, &ids);
@@ -330,7 +334,9 @@
                 phase,
                 pools: Vec::new(),
             };
-            let Some(to) = self.nodes.iter().position(|node| node.vm == target.vm) else { continue };
+            let Some(to) = self.nodes.iter().position(|node| node.vm == target.vm) else {
+                continue;
+            };
             self.send(now, index, to, Message::Heartbeat(heartbeat));
         }
     }
--- a/crates/ebonydock/src/notices/ledger.rs
+++ b/crates/ebonydock/src/notices/ledger.rs
@@ -71,7 +71,7 @@
                     return Ok(NoticeEntry::Open(NoticeTicket { table, key, digest, version }));
                 }
             }
-            NoticeStep::Wait => ntex::time::sleep(POLL_PAUSE).await,
+            NoticeStep::Wait => tokio::time::sleep(POLL_PAUSE).await,
             NoticeStep::Replay(response) => return Ok(NoticeEntry::Replayed(response)),
             NoticeStep::Conflict => return Err(NoticeError::Conflict),
             NoticeStep::Unknown => return Err(NoticeError::OutcomeUnknown),
--- a/crates/ebonydock/src/notices/tests.rs
+++ b/crates/ebonydock/src/notices/tests.rs
@@ -1,1 +1,133 @@
-//! Tests of the slice.
+//! Tests of notices: a call with an idempotency key is sent at most once.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use ntex::util::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use yare::parameterized;
+
+use crate::ids::WorkspaceId;
+use crate::notices::ledger::{NoticeEntry, call_digest, enter, notice_key};
+use crate::notices::{NoticeError, NoticeRow, NoticeState, NoticeStep, next_step};
+use crate::platform::tests::{FakeTable, run_paused};
+use crate::targets::{ServiceRequest, ServiceResponse};
+
+fn response() -> ServiceResponse {
+    ServiceResponse { status: 200, content_type: None, body: b"sent".to_vec() }
+}
+
+fn row(state: NoticeState) -> NoticeRow {
+    NoticeRow { digest: "a".to_owned(), state }
+}
+
+#[parameterized(
+    fresh_reservation = { NoticeState::Reserved, 1, NoticeStep::Wait },
+    abandoned_reservation = { NoticeState::Reserved, 6, NoticeStep::TakeOver },
+    being_sent = { NoticeState::Sending, 6, NoticeStep::Wait },
+    sent_long_ago = { NoticeState::Sending, 11, NoticeStep::Unknown },
+    broken = { NoticeState::Unknown, 0, NoticeStep::Unknown },
+    answered = { NoticeState::Answered(response()), 0, NoticeStep::Replay(response()) },
+)]
+fn steps(state: NoticeState, seconds: u64, expected: NoticeStep) {
+    let row = row(state);
+    assert_eq!(next_step(Some(&row), "a", Duration::from_secs(seconds)), expected);
+    assert_eq!(next_step(Some(&row), "b", Duration::from_secs(seconds)), NoticeStep::Conflict);
+    assert_eq!(next_step(None, "a", Duration::from_secs(seconds)), NoticeStep::Reserve);
+}
+
+#[test]
+fn the_digest_tells_calls_apart() {
+    let request = |path: &str, body: &'static str| ServiceRequest {
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        content_type: None,
+        request_id: "differs".to_owned(),
+        body: Bytes::from_static(body.as_bytes()),
+    };
+    let digest = call_digest("notices", &request("/send", "a"));
+    assert_eq!(digest, call_digest("notices", &request("/send", "a")));
+    assert_ne!(digest, call_digest("notices", &request("/send", "b")));
+    assert_ne!(digest, call_digest("notices", &request("/senda", "")));
+    assert_ne!(digest, call_digest("other", &request("/send", "a")));
+}
+
+/// How a VM fails while it has the call.
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    None,
+    /// Lost with the reservation.
+    Reserved,
+    /// Paused with the reservation for so many seconds.
+    Paused(u64),
+    /// Lost after the first byte.
+    Sent,
+}
+
+/// One attempt of a caller through some VM. Returns the outcome that the caller saw.
+async fn attempt(
+    table: &FakeTable,
+    sends: &Cell<u32>,
+    after: u64,
+    failure: Failure,
+) -> Option<Result<ServiceResponse, NoticeError>> {
+    tokio::time::sleep(Duration::from_millis(after)).await;
+    let key = notice_key(&WorkspaceId::from("zlatnik"), "pickup-1");
+    let mut ticket = match enter(table, &key, "a").await {
+        Ok(NoticeEntry::Replayed(response)) => return Some(Ok(response)),
+        Ok(NoticeEntry::Open(ticket)) => ticket,
+        Err(error) => return Some(Err(error)),
+    };
+    match failure {
+        Failure::Reserved => return None,
+        Failure::Paused(seconds) => tokio::time::sleep(Duration::from_secs(seconds)).await,
+        Failure::None | Failure::Sent => {}
+    }
+    if let Err(error) = ticket.mark_sending().await {
+        return Some(Err(error));
+    }
+    sends.set(sends.get() + 1);
+    if matches!(failure, Failure::Sent) {
+        return None;
+    }
+    ticket.settle(NoticeState::Answered(response())).await;
+    Some(Ok(response()))
+}
+
+fn failures() -> impl Strategy<Value = Failure> {
+    prop_oneof![
+        3 => Just(Failure::None),
+        1 => Just(Failure::Reserved),
+        1 => (1u64..20).prop_map(Failure::Paused),
+        1 => Just(Failure::Sent),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_call_is_sent_at_most_once(
+        seed in any::<u64>(),
+        failing in 0.0..0.5f64,
+        attempts in prop::collection::vec((0u64..20_000, failures()), 1..6),
+    ) {
+        run_paused(async {
+            let table = Rc::new(FakeTable::open(seed, failing));
+            let sends = Cell::new(0);
+            let runs = attempts.iter().map(|(after, failure)| attempt(&table, &sends, *after, *failure));
+            let outcomes = join_all(runs).await;
+            assert!(sends.get() <= 1, "sent {} times", sends.get());
+            let answered = outcomes.iter().flatten().any(Result::is_ok);
+            assert!(!answered || sends.get() == 1, "answered without being sent");
+        });
+    }
+}
--- a/crates/ebonydock/src/operators/server.rs
+++ b/crates/ebonydock/src/operators/server.rs
@@ -93,7 +93,7 @@
         if not_yet_in_force.is_empty() || monotonic() >= deadline {
             return Ok(EditReply { version, not_yet_in_force });
         }
-        ntex::time::sleep(FORCE_POLL).await;
+        tokio::time::sleep(FORCE_POLL).await;
     }
 }
 
--- a/crates/ebonydock/src/platform/durable.rs
+++ b/crates/ebonydock/src/platform/durable.rs
@@ -81,7 +81,7 @@
             }
             Err(refused @ PlatformError::Refused(_)) => return Err(refused),
         }
-        ntex::time::sleep(RETRY_PAUSE).await;
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
     Err(last)
 }
--- a/crates/ebonydock/src/platform/mod.rs
+++ b/crates/ebonydock/src/platform/mod.rs
@@ -6,7 +6,7 @@
 pub(crate) mod durable;
 pub mod http;
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use futures_util::future::LocalBoxFuture;
 use ntex::util::Bytes;
--- a/crates/ebonydock/src/platform/tests.rs
+++ b/crates/ebonydock/src/platform/tests.rs
@@ -1,1 +1,195 @@
-//! Tests of the slice.
+//! Tests of durable writes, and a table in memory that other slices test against.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::ops::Bound;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{LocalBoxFuture, join_all};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::ids::{AttemptId, RowKey};
+use crate::platform::durable::{WriteOutcome, decode_row, encode_row, write_once};
+use crate::platform::{PlatformError, PlatformResult, TableRow, TableStore, TableTransaction};
+
+/// A table in memory that answers late, not at all, or loses its answers after they took effect.
+pub(crate) struct FakeTable {
+    rows: RefCell<BTreeMap<String, (u64, Value)>>,
+    revision: Cell<u64>,
+    random: RefCell<SmallRng>,
+    failing: f64,
+}
+
+impl FakeTable {
+    /// A table of which this part of the calls fails, half of those after taking effect.
+    pub(crate) fn open(seed: u64, failing: f64) -> Self {
+        Self {
+            rows: RefCell::default(),
+            revision: Cell::new(0),
+            random: RefCell::new(SmallRng::seed_from_u64(seed)),
+            failing,
+        }
+    }
+
+    fn roll(&self, part: f64) -> bool {
+        self.random.borrow_mut().random_bool(part)
+    }
+
+    async fn delay(&self) {
+        let millis = self.random.borrow_mut().random_range(0..60);
+        tokio::time::sleep(Duration::from_millis(millis)).await;
+    }
+
+    async fn answer<T>(&self, answer: T) -> PlatformResult<T> {
+        self.delay().await;
+        if self.roll(self.failing / 2.0) {
+            return Err(PlatformError::Unavailable("the answer was lost".to_owned()));
+        }
+        Ok(answer)
+    }
+
+    async fn arrive(&self) -> PlatformResult<()> {
+        self.delay().await;
+        if self.roll(self.failing / 2.0) {
+            return Err(PlatformError::Unavailable("the call was lost".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn apply(&self, transaction: &TableTransaction) -> PlatformResult<u64> {
+        let mut rows = self.rows.borrow_mut();
+        for condition in &transaction.conditions {
+            let version = rows.get(condition.key.as_str()).map_or(0, |(version, _)| *version);
+            if version != condition.version {
+                return Err(PlatformError::Conflict(condition.key.clone()));
+            }
+        }
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        for write in &transaction.writes {
+            let key = write.key.to_string();
+            match &write.value {
+                Some(value) => rows.insert(key, (revision, value.clone())),
+                None => rows.remove(&key),
+            };
+        }
+        Ok(revision)
+    }
+}
+
+impl TableStore for FakeTable {
+    fn read<'a>(&'a self, key: &'a RowKey) -> LocalBoxFuture<'a, PlatformResult<Option<TableRow>>> {
+        Box::pin(async move {
+            self.arrive().await?;
+            let row = self.rows.borrow().get(key.as_str()).map(|(version, value)| TableRow {
+                key: key.clone(),
+                version: *version,
+                value: value.clone(),
+            });
+            self.answer(row).await
+        })
+    }
+
+    fn list<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> LocalBoxFuture<'a, PlatformResult<Vec<TableRow>>> {
+        Box::pin(async move {
+            let start = Bound::Excluded(after.max(prefix).to_owned());
+            let rows = self.rows.borrow();
+            let rows = rows.range((start, Bound::Unbounded)).take(limit);
+            let rows = rows.take_while(|(key, _)| key.starts_with(prefix));
+            let row = |(key, (version, value)): (&String, &(u64, Value))| TableRow {
+                key: RowKey::from(key.as_str()),
+                version: *version,
+                value: value.clone(),
+            };
+            Ok(rows.map(row).collect())
+        })
+    }
+
+    fn transact<'a>(
+        &'a self,
+        transaction: &'a TableTransaction,
+    ) -> LocalBoxFuture<'a, PlatformResult<u64>> {
+        Box::pin(async move {
+            self.arrive().await?;
+            let revision = self.apply(transaction)?;
+            self.answer(revision).await
+        })
+    }
+}
+
+/// Runs a future with a clock that jumps to the next timer.
+pub(crate) fn run_paused<T>(future: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().unwrap();
+    runtime.block_on(future)
+}
+
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Counter {
+    count: u64,
+}
+
+/// Adds one to a counter as often as it is told to; returns how often it was sure to have done so.
+async fn increment(table: &FakeTable, times: usize) -> (u64, u64) {
+    let key = RowKey::from("counter");
+    let (mut sure, mut unknown) = (0, 0);
+    for _ in 0..times {
+        let Ok(row) = table.read(&key).await else { continue };
+        let version = row.as_ref().map_or(0, |row| row.version);
+        let mut counter: Counter =
+            row.map(|row| decode_row(&row.value).unwrap()).unwrap_or_default();
+        counter.count += 1;
+        let attempt = AttemptId::random();
+        let value = encode_row(&counter, &attempt);
+        let transaction = TableTransaction::default().require(&key, version).write(&key, value);
+        match write_once(table, &transaction, &key, &attempt, 4).await {
+            Ok(WriteOutcome::Written(_)) => sure += 1,
+            Ok(WriteOutcome::Lost) => {}
+            Err(_) => unknown += 1,
+        }
+    }
+    (sure, unknown)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_write_takes_effect_once_or_is_reported_unknown(
+        seed in any::<u64>(),
+        failing in 0.0..0.6f64,
+        writers in 1usize..5,
+    ) {
+        run_paused(async {
+            let table = Rc::new(FakeTable::open(seed, failing));
+            let outcomes = join_all((0..writers).map(|_| increment(&table, 12))).await;
+            let sure: u64 = outcomes.iter().map(|(sure, _)| sure).sum();
+            let unknown: u64 = outcomes.iter().map(|(_, unknown)| unknown).sum();
+            let rows = table.rows.borrow();
+            let count = rows.get("counter").map_or(0, |(_, value)| value["count"].as_u64().unwrap());
+            // A read-back that another writer has overwritten counts as lost although it took effect.
+            let overwritten = if writers > 1 { count.saturating_sub(sure + unknown) } else { 0 };
+            assert!(count + unknown >= sure, "count {count}, sure {sure}, unknown {unknown}");
+            assert!(count <= sure + unknown + overwritten);
+            if writers == 1 {
+                assert!(sure <= count && count <= sure + unknown);
+            }
+        });
+    }
+}
--- a/crates/ebonydock/src/routing/acquire.rs
+++ b/crates/ebonydock/src/routing/acquire.rs
@@ -205,7 +205,7 @@
         if refusal == AcquireRefusal::NoCapableTarget || monotonic() + OWNER_PAUSE >= deadline {
             return Err(refusal);
         }
-        ntex::time::sleep(OWNER_PAUSE).await;
+        tokio::time::sleep(OWNER_PAUSE).await;
     }
 }
 
--- a/crates/ebonydock/src/routing/session.rs
+++ b/crates/ebonydock/src/routing/session.rs
@@ -337,5 +337,5 @@
     }
     let since = *since.get_or_insert_with(monotonic);
     let end = since + context.settings().online.withdrawn_grace;
-    ntex::time::sleep(end.saturating_sub(monotonic())).await;
+    tokio::time::sleep(end.saturating_sub(monotonic())).await;
 }
--- a/crates/ebonydock/src/scheduling/pools.rs
+++ b/crates/ebonydock/src/scheduling/pools.rs
@@ -13,6 +13,7 @@
     StartReport,
 };
 use crate::scheduling::{CacheReport, Decision, PoolPolicy, PoolScheduler, WaiterId};
+use crate::targets::EngineStatus;
 
 /// A batch lease to take back from its holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -142,6 +143,18 @@
         self.act(now, &report.model, |scheduler| scheduler.release(now, report))
     }
 
+    /// Takes a target's report of itself.
+    pub(crate) fn note_status(
+        &self,
+        now: Duration,
+        model: &ModelName,
+        target: &TargetId,
+        status: &EngineStatus,
+    ) -> Vec<PendingRevoke> {
+        let (start, warm) = (status.start_id, status.warm);
+        self.act(now, model, |scheduler| scheduler.note_status(now, target, start, warm))
+    }
+
     /// Takes a VM's listing of its leases.
     pub(crate) fn reconcile(
         &self,
--- a/crates/ebonydock/src/scheduling/scheduler.rs
+++ b/crates/ebonydock/src/scheduling/scheduler.rs
@@ -262,11 +262,18 @@
     }
 
     /// Takes a target's own report of its state, which lags.
-    pub fn note_status(&mut self, now: Duration, target: &TargetId, start_id: u64, warm: bool) {
+    pub fn note_status(
+        &mut self,
+        now: Duration,
+        target: &TargetId,
+        start_id: u64,
+        warm: bool,
+    ) -> Vec<Decision> {
         if let Some(state) = self.targets.get_mut(target) {
             state.note_status(start_id, warm);
         }
         self.reindex(now, target);
+        self.dispatch(now)
     }
 
     /// Takes a target's report of its cache. Returns whether a full listing is needed.
--- a/crates/ebonydock/src/targets/http.rs
+++ b/crates/ebonydock/src/targets/http.rs
@@ -109,10 +109,10 @@
     let mut done = false;
     let events = response.take_payload().map_ok(|bytes| bytes.to_vec()).eventsource();
     let timed = futures_util::stream::unfold(Box::pin(events), |mut events| async move {
-        match ntex::time::timeout(TOKEN_TIMEOUT, events.next()).await {
+        match tokio::time::timeout(TOKEN_TIMEOUT, events.next()).await {
             Ok(Some(event)) => Some((event.map_err(broken), events)),
             Ok(None) => Some((Err(TargetError::Broken("the answer is incomplete".into())), events)),
-            Err(()) => Some((Err(TargetError::Broken("no token in time".into())), events)),
+            Err(_) => Some((Err(TargetError::Broken("no token in time".into())), events)),
         }
     });
     let checked = timed.map(move |event| checked_event(&request_id, &mut next, &event?.data));
--- a/crates/ebonydock/src/vm/handle.rs
+++ b/crates/ebonydock/src/vm/handle.rs
@@ -219,14 +219,14 @@
     send_heartbeats(context);
     on_view_change(context);
     let wait = async {
-        ntex::time::sleep(NOTICE_TIME).await;
+        tokio::time::sleep(NOTICE_TIME).await;
         while shared.running() > 0 {
-            ntex::time::sleep(DRAIN_POLL).await;
+            tokio::time::sleep(DRAIN_POLL).await;
         }
     };
     tokio::select! {
         () = wait => {}
-        () = ntex::time::sleep(shared.settings.online.drain) => {
+        () = tokio::time::sleep(shared.settings.online.drain) => {
             log::warn!("vm: Stopped with {} requests running.", shared.running());
         }
         _ = commands.recv() => {}
--- a/crates/ebonydock/src/vm/tasks.rs
+++ b/crates/ebonydock/src/vm/tasks.rs
@@ -58,7 +58,7 @@
             on_view_change(&context);
         }
         let interval = context.shared.membership().limits().interval;
-        ntex::time::sleep(interval).await;
+        tokio::time::sleep(interval).await;
     }
 }
 
@@ -118,7 +118,7 @@
             }
             Err(error) => log::debug!("fleet: The list could not be read: {error}."),
         }
-        ntex::time::sleep(FLEET_INTERVAL).await;
+        tokio::time::sleep(FLEET_INTERVAL).await;
     }
 }
 
@@ -137,7 +137,7 @@
             read_config(&context, &store).await;
         }
         ask_members(&context).await;
-        ntex::time::sleep(CONFIG_INTERVAL).await;
+        tokio::time::sleep(CONFIG_INTERVAL).await;
     }
 }
 
@@ -191,7 +191,7 @@
         let out = context.shared.is_out();
         let revokes = context.shared.pools.tick(monotonic(), out);
         send_revokes(&context, revokes);
-        ntex::time::sleep(POOL_INTERVAL).await;
+        tokio::time::sleep(POOL_INTERVAL).await;
     }
 }
 
@@ -224,7 +224,7 @@
 
 async fn reconcile_leases(context: Rc<VmContext>) {
     loop {
-        ntex::time::sleep(RECONCILE_INTERVAL).await;
+        tokio::time::sleep(RECONCILE_INTERVAL).await;
         for model in context.shared.pools.models() {
             reconcile_pool(Rc::clone(&context), model).await;
         }
@@ -265,17 +265,15 @@
                 ntex::rt::spawn(watch_target(Rc::clone(&context), model.clone(), target, address));
             }
         }
-        ntex::time::sleep(COLD_STATUS_INTERVAL).await;
+        tokio::time::sleep(COLD_STATUS_INTERVAL).await;
     }
 }
 
 async fn watch_target(context: Rc<VmContext>, model: ModelName, target: TargetId, address: String) {
     let engines = &context.engines;
     if let Ok(status) = engines.status(&address).await {
-        let (start, warm) = (status.start_id, status.warm);
-        let now = monotonic();
         let pools = &context.shared.pools;
-        pools.update(&model, |scheduler| scheduler.note_status(now, &target, start, warm));
+        send_revokes(&context, pools.note_status(monotonic(), &model, &target, &status));
     }
     let after = context.shared.pools.update(&model, |scheduler| scheduler.cache_position(&target));
     let Ok(report) = engines.cache(&address, after).await else { return };
@@ -301,7 +299,7 @@
                 send_in_background(&context, vm, PeerRequest::Digest(own_digest(&context)));
             }
         }
-        ntex::time::sleep(interval).await;
+        tokio::time::sleep(interval).await;
     }
 }
 
@@ -338,7 +336,7 @@
 
 async fn compact_limits(context: Rc<VmContext>) {
     loop {
-        ntex::time::sleep(COMPACT_INTERVAL).await;
+        tokio::time::sleep(COMPACT_INTERVAL).await;
         compact(&context.shared);
     }
 }
