Targets: connections without the library's limit of 8, one for each answer

Cause: in mix, without batch, 24 to 35 % of answers began within a second and requests inside their rate were refused. The HTTP client keeps at most 8 connections for all hosts, in the daemon and in the load tool. Ruled out: the buckets (no refusal once the limit is gone), the engines (12 of 64 sequences busy), the server (85 ms median against 30 callers from another client). Change: no limit; a connection of its own for each answer, because kept ones broke under requests, which turned targets cold (batch fell to 8 % of what online left).

--- a/crates/ebonydock/src/platform/http.rs
+++ b/crates/ebonydock/src/platform/http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use ntex::client::{Client, ClientResponse};
+use ntex::client::{Client, ClientResponse, Connector};
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
 
@@ -35,7 +35,9 @@
 
 /// An HTTP client whose requests are answered or fail within `timeout`.
 pub(crate) async fn http_client(timeout: Duration) -> Client {
+    // The schedulers bound what runs at a target; the library's limit of 8 connections would not do.
     Client::builder()
+        .connector::<()>(Connector::new().limit(0))
         .response_timeout(ntex::time::Millis(timeout.as_millis() as u32))
         .disable_redirects()
         .no_default_headers()
--- a/crates/ebonydock/src/targets/http.rs
+++ b/crates/ebonydock/src/targets/http.rs
@@ -132,7 +132,9 @@
         request: &'a GenerateRequest,
     ) -> LocalBoxFuture<'a, Result<TokenStream, TargetError>> {
         Box::pin(async move {
-            let call = self.client.post(format!("http://{address}/v1/generate"));
+            // A connection of its own: one that was kept may break under the request, and one whose
+            // answer was cancelled must not serve another request.
+            let call = self.client.post(format!("http://{address}/v1/generate")).force_close();
             let response = call.send_json(request).await.map_err(|error| sent_error(&error))?;
             if response.status() != StatusCode::OK {
                 return Err(refused(&response).await);
--- a/crates/ebonydock_bench/src/mix/scenario.rs
+++ b/crates/ebonydock_bench/src/mix/scenario.rs
@@ -49,6 +49,13 @@
     pub(crate) bursts: f64,
 }
 
+impl OfferedLoad {
+    /// Whether the workspace offers more than its rate.
+    pub(crate) fn is_over_rate(&self) -> bool {
+        self.offered > self.rate
+    }
+}
+
 /// A batch job of the scenario.
 #[derive(Clone, Debug)]
 pub(crate) struct MixJob {
--- a/crates/ebonydock_standins/src/site.rs
+++ b/crates/ebonydock_standins/src/site.rs
@@ -10,8 +10,8 @@
     ModelName, PlanName, PoolPolicy, RouteRule, ServiceName, TargetEntry, TargetId, TargetRole,
     VmEntry, VmHandle, VmId, VmSettings, WorkspaceEntry, WorkspaceId,
 };
-use ntex::client::Client;
 use ntex::client::error::ClientError;
+use ntex::client::{Client, Connector};
 use ntex::http::{Method, StatusCode};
 use ntex::util::Bytes;
 use serde_json::Value;
@@ -389,6 +389,7 @@
     /// Opens a client; must run inside an `ntex` runtime.
     pub async fn open() -> Self {
         let builder = Client::builder()
+            .connector::<()>(Connector::new().limit(0))
             .response_timeout(ntex::time::Millis(ANSWER_TIMEOUT))
             .response_payload_timeout(ntex::time::Millis(ANSWER_TIMEOUT))
             .response_payload_limit(256 * 1024 * 1024);
@@ -405,7 +406,7 @@
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
     ) -> Result<ntex::client::ClientResponse, ClientError> {
-        let mut request = self.client.request(method, url);
+        let mut request = self.client.request(method, url).force_close();
         if let Some(key) = key {
             request = request.header("authorization", format!("Bearer {key}"));
         }
