--- a/crates/ebonydock/src/routing/session.rs
+++ b/crates/ebonydock/src/routing/session.rs
@@ -20,6 +20,9 @@
 const MOST_UNREACHABLE: usize = 6;
 /// A refusal because of overload is borne this often.
 const MOST_OVERLOADS: usize = 8;
+/// A target that has not begun to answer within this time is given up for another one: the HTTP client
+/// leaves about one in a hundred requests without an answer.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
 /// Prompts shorter than this are not worth caching.
 const PREFIX_BYTES: usize = 256;
 const BYTES_PER_TOKEN: usize = 4;
@@ -192,7 +195,16 @@
             generated_tokens: self.tokens,
         };
         let engines = Rc::clone(&self.context.engines);
-        match engines.generate(lease.address(), &request).await {
+        let begun =
+            tokio::time::timeout(START_TIMEOUT, engines.generate(lease.address(), &request));
+        let Ok(begun) = begun.await else {
+            // The target may be well, so nothing is held against it.
+            log::warn!("routing: Target `{}` did not begin to answer.", lease.target());
+            self.reached_target = true;
+            lease.release(LeaseUse::of(LeaseOutcome::Cancelled));
+            return self.count_overload();
+        };
+        match begun {
             Ok(stream) => {
                 lease.report_start(stream.start_id);
                 self.reached_target = true;
@@ -213,8 +225,7 @@
             }
             Err(TargetError::Overloaded) => {
                 lease.release(LeaseUse::of(LeaseOutcome::Overloaded));
-                self.overloads += 1;
-                if self.overloads > MOST_OVERLOADS { Err(AnswerError::Busy) } else { Ok(()) }
+                self.count_overload()
             }
             Err(error) => {
                 self.reached_target |= error != TargetError::NotSent;
@@ -225,6 +236,11 @@
         }
     }
 
+    fn count_overload(&mut self) -> Result<(), AnswerError> {
+        self.overloads += 1;
+        if self.overloads > MOST_OVERLOADS { Err(AnswerError::Busy) } else { Ok(()) }
+    }
+
     /// The workspace's weight; fails when the key is not valid any more.
     fn checked_weight(&self) -> Result<f64, AnswerError> {
         let workspace = &self.request.workspace;
--- a/crates/ebonydock_bench/src/main.rs
+++ b/crates/ebonydock_bench/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod mix;
+mod slopes;
 
 use std::process::ExitCode;
 
@@ -15,6 +16,8 @@
   demo [--keep]   a whole site in one process: a streamed answer, a batch job and a notice
   mix [--scenario FILE] [--seed N] [--json FILE] [--only TEXT]
                   online and batch together, a row for each policy
+  slopes [--json FILE] [--write | --check]
+                  what state and decisions cost, and what follows at the full size
 ";
 
 /// Logs to standard error when `EBONYDOCK_LOG` names a level.
@@ -27,6 +30,7 @@
     let config = Config::builder()
         .appender(Appender::builder().build("stderr", Box::new(console)))
         .logger(Logger::builder().build("ebonydock", level))
+        .logger(Logger::builder().build("ebonydock_bench", level))
         .build(Root::builder().appender("stderr").build(log::LevelFilter::Warn));
     if let Ok(config) = config {
         let _ = log4rs::init_config(config);
@@ -43,6 +47,7 @@
     let result = match command.as_str() {
         "demo" => demo::run(rest),
         "mix" => mix::run(rest),
+        "slopes" => slopes::run(rest),
         "help" | "--help" | "-h" => {
             print!("{USAGE}");
             Ok(())
--- a/crates/ebonydock_bench/src/mix/load.rs
+++ b/crates/ebonydock_bench/src/mix/load.rs
@@ -195,11 +195,18 @@
         }
         Ok(Ok(_)) => SampleOutcome::Wrong,
         Ok(Err(outcome)) => outcome,
-        Err(_) => SampleOutcome::Broken,
+        Err(_) => broken(format!(
+            "no end in time from {address}, first token after {first:?}, workspace {workspace}"
+        )),
     };
     Sample { workspace, outcome, first, whole: began.elapsed() }
 }
 
+fn broken(error: impl std::fmt::Display) -> SampleOutcome {
+    log::warn!("mix: An answer broke off: {error}.");
+    SampleOutcome::Broken
+}
+
 async fn read_answer(
     client: &SiteClient,
     url: String,
@@ -208,7 +215,7 @@
     mut on_first: impl FnMut(),
 ) -> Result<String, SampleOutcome> {
     let response = client.send(Method::POST, url, Some(key), &[], body).await;
-    let response = response.map_err(|_| SampleOutcome::Broken)?;
+    let response = response.map_err(broken)?;
     match response.status().as_u16() {
         200 => {}
         429 => return Err(SampleOutcome::RateLimited),
@@ -220,11 +227,13 @@
         if raw.is_empty() {
             on_first();
         }
-        raw.extend_from_slice(&part.map_err(|_| SampleOutcome::Broken)?);
+        raw.extend_from_slice(&part.map_err(broken)?);
     }
     let raw = String::from_utf8_lossy(&raw).into_owned();
     if !raw.contains("data: [DONE]") {
-        return Err(SampleOutcome::Broken);
+        let tail: String =
+            raw.chars().rev().take(200).collect::<Vec<_>>().into_iter().rev().collect();
+        return Err(broken(format!("no end after {} bytes: {tail}", raw.len())));
     }
     let content = |line: &str| {
         let event: Value = serde_json::from_str(line.strip_prefix("data: ")?).ok()?;
--- /dev/null
+++ b/crates/ebonydock_bench/src/slopes/capacity.rs
@@ -0,0 +1,472 @@
+//! The page that says what each role costs at the size of two years from now.
+
+use std::fmt::Write;
+
+use crate::slopes::measure::MeasuredSlopes;
+
+const BEGIN: &str = "<!-- tables: begin, written by `slopes --write` -->\n";
+const END: &str = "<!-- tables: end -->\n";
+/// A fresh run may differ from the page by this factor.
+const TOLERANCE: f64 = 2.0;
+/// Slopes below these are too small to compare on a noisy machine.
+const NOISE: [(&str, f64); 2] = [("ms/s", 2.0), ("ns", 200.0)];
+
+const NODES: f64 = 980.0;
+const DATA_CENTRES: f64 = 27.0;
+const SERVERS: f64 = 12_000.0;
+const MODELS: f64 = 12.0;
+const WORKSPACES: f64 = 47_000.0;
+const REQUESTS: f64 = 19_000.0;
+const TOKENS: f64 = 7_100_000.0;
+const ITEMS_A_DAY: f64 = 1.6e9;
+const JOBS_A_DAY: f64 = 85_000.0;
+const LARGEST_JOB: f64 = 290_000.0;
+const CHANGES_A_DAY: f64 = 59_000.0;
+const FAILED_A_DAY: f64 = 170.0;
+const REPLACED_A_DAY: f64 = 770.0;
+const DAY: f64 = 86_400.0;
+const CHUNK_ITEMS: f64 = 1000.0;
+const CPU_BUDGET_MS: f64 = 14.0;
+const BYTES_BUDGET: f64 = 18_000.0;
+const MEMORY_BUDGET: f64 = 256e6;
+const WRITES_BUDGET: f64 = 300.0;
+const READS_BUDGET: f64 = 2000.0;
+/// Bytes that QUIC and UDP add to a message and its acknowledgement.
+const FRAME: f64 = 110.0;
+/// How much busier the busiest data centre, pool or workspace is than the mean.
+const HOTTEST: f64 = 4.0;
+
+/// One row of the page.
+struct CapacityRow {
+    what: String,
+    mechanism: &'static str,
+    value: f64,
+    unit: &'static str,
+    budget: Option<f64>,
+    carried_by: &'static str,
+}
+
+/// The page's tables.
+pub(crate) struct CapacityPage<'a> {
+    slopes: &'a MeasuredSlopes,
+    rows: Vec<CapacityRow>,
+}
+
+fn row(
+    what: impl Into<String>,
+    mechanism: &'static str,
+    value: f64,
+    unit: &'static str,
+    budget: Option<f64>,
+    carried_by: &'static str,
+) -> CapacityRow {
+    CapacityRow { what: what.into(), mechanism, value, unit, budget, carried_by }
+}
+
+impl<'a> CapacityPage<'a> {
+    /// Works the page out.
+    pub(crate) fn of(slopes: &'a MeasuredSlopes) -> Self {
+        let mut rows = bandwidth(slopes);
+        rows.extend(processor(slopes));
+        rows.extend(memory(slopes));
+        rows.extend(platform());
+        rows.extend(spread());
+        Self { slopes, rows }
+    }
+
+    /// The tables as Markdown.
+    pub(crate) fn text(&self) -> String {
+        let mut text =
+            String::from("### Slopes\n\n| slope | value | unit |\n| --- | ---: | --- |\n");
+        for slope in &self.slopes.slopes {
+            let _ = writeln!(text, "| {} | {:.1} | {} |", slope.name, slope.value, slope.unit);
+        }
+        text.push_str("\n### At the full size\n\n");
+        text.push_str("| what | mechanism | value | unit | budget | |\n");
+        text.push_str("| --- | --- | ---: | --- | ---: | --- |\n");
+        for row in &self.rows {
+            let budget = row.budget.map_or_else(|| "-".to_owned(), |budget| format!("{budget:.0}"));
+            let over = row.budget.is_some_and(|budget| row.value > budget);
+            let verdict = match (over, row.budget) {
+                (true, _) => format!("**over**: {}", row.carried_by),
+                (false, Some(_)) => "fits".to_owned(),
+                (false, None) => row.carried_by.to_owned(),
+            };
+            let _ = writeln!(
+                text,
+                "| {} | {} | {:.1} | {} | {budget} | {verdict} |",
+                row.what, row.mechanism, row.value, row.unit
+            );
+        }
+        text
+    }
+
+    /// Puts the tables into the page.
+    pub(crate) fn insert_into(&self, page: &str) -> Result<String, String> {
+        let missing = || "the page has no marks for the tables".to_owned();
+        let (head, rest) = page.split_once(BEGIN).ok_or_else(missing)?;
+        let (_, tail) = rest.split_once(END).ok_or_else(missing)?;
+        Ok(format!("{head}{BEGIN}\n{}\n{END}{tail}", self.text()))
+    }
+
+    /// Compares the page's slopes with this run's.
+    pub(crate) fn check(&self, page: &str) -> Result<(), String> {
+        let mut findings = Vec::new();
+        for slope in &self.slopes.slopes {
+            let start = format!("| {} | ", slope.name);
+            let written = page.lines().find_map(|line| line.strip_prefix(&start));
+            let written = written.and_then(|rest| rest.split(" |").next()?.parse::<f64>().ok());
+            let noise = NOISE.iter().find(|(unit, _)| *unit == slope.unit).map_or(0.0, |n| n.1);
+            let close = written.is_some_and(|written| {
+                let (low, high) = (written.min(slope.value), written.max(slope.value));
+                high <= low * TOLERANCE || high <= noise
+            });
+            if !close {
+                let (name, value) = (slope.name, slope.value);
+                findings.push(format!("`{name}`: the page says {written:?}, this run {value:.1}"));
+            }
+        }
+        if findings.is_empty() {
+            println!("every slope of the page is within a factor of {TOLERANCE} of this run");
+            return Ok(());
+        }
+        Err(findings.join("\n"))
+    }
+}
+
+fn bandwidth(slopes: &MeasuredSlopes) -> Vec<CapacityRow> {
+    let members = NODES / DATA_CENTRES;
+    let hottest_members = members * 2.0;
+    let interval = |members: f64| (0.025 * members).max(0.4);
+    let heartbeats = |members: f64| members / interval(members);
+    let beat = slopes.get("heartbeat message") + FRAME;
+    let items = ITEMS_A_DAY / DAY;
+    let lease = slopes.get("acquire, request and reply")
+        + slopes.get("release, request and reply")
+        + 4.0 * FRAME;
+    let draw = slopes.get("draw, request and reply") + 2.0 * FRAME;
+    let digests = (DATA_CENTRES - 1.0) / (0.1 * DATA_CENTRES);
+    let digest = slopes.get("digest message") + 2.0 * FRAME;
+    let online = REQUESTS / NODES;
+    let batch = items / NODES;
+    let chunks = items / CHUNK_ITEMS / NODES;
+    let chunk = slopes.get("chunk, order and report") + 2.0 * FRAME;
+    let sums = [
+        heartbeats(members) * beat,
+        online * (lease / 2.0 + draw),
+        batch * lease / 2.0,
+        digests * digest,
+        chunks * chunk,
+    ];
+    let budget = Some(BYTES_BUDGET);
+    vec![
+        row(
+            "peer: heartbeats sent, mean data centre",
+            "interval grows with members",
+            sums[0],
+            "bytes/s",
+            budget,
+            "",
+        ),
+        row(
+            "peer: heartbeats sent, data centre of twice the mean",
+            "interval grows with members",
+            heartbeats(hottest_members) * beat,
+            "bytes/s",
+            budget,
+            "",
+        ),
+        row(
+            "entry: leases and draws of online requests",
+            "one lease and at most one draw a request",
+            sums[1],
+            "bytes/s",
+            budget,
+            "",
+        ),
+        row(
+            "entry: leases of batch items",
+            "one lease an item",
+            sums[2],
+            "bytes/s",
+            budget,
+            "a lease kept over items of a chunk, returned when revoked",
+        ),
+        row(
+            "peer: digests taken",
+            "one VM takes it and relays",
+            sums[3],
+            "bytes/s",
+            budget,
+            "changes instead of the whole digest",
+        ),
+        row("job lead: chunks", "one order for 1000 items", sums[4], "bytes/s", budget, ""),
+        row(
+            "**sum a node, mean**",
+            "",
+            sums.iter().sum(),
+            "bytes/s",
+            budget,
+            "leases kept over items, digests as changes",
+        ),
+        row(
+            "configuration: changes announced to a node",
+            "push of changes",
+            CHANGES_A_DAY / DAY * (slopes.get("change announced") + FRAME),
+            "bytes/s",
+            budget,
+            "",
+        ),
+    ]
+}
+
+fn processor(slopes: &MeasuredSlopes) -> Vec<CapacityRow> {
+    let micro = 1e-6;
+    let items = ITEMS_A_DAY / DAY;
+    let pools = MODELS * DATA_CENTRES;
+    let per_pool = (REQUESTS + items) / pools;
+    let decision = slopes.get("acquire and release, 100 targets");
+    let budget = Some(CPU_BUDGET_MS);
+    let idle = slopes.get("idle VM, processor, 48 VMs");
+    let apply = slopes.get("change applied, 47000 workspaces");
+    let draws = REQUESTS / NODES;
+    vec![
+        row(
+            "peer: idle VM among 48",
+            "heartbeats, polls, ticks",
+            idle,
+            "ms/s",
+            budget,
+            "ticks of pools only while something waits or runs",
+        ),
+        row(
+            "pool scheduler: decisions of a mean pool",
+            "order by load, fair queue",
+            per_pool * decision * micro,
+            "ms/s",
+            budget,
+            "",
+        ),
+        row(
+            "pool scheduler: decisions of the busiest pool",
+            "order by load, fair queue",
+            HOTTEST * per_pool * decision * micro,
+            "ms/s",
+            budget,
+            "",
+        ),
+        row(
+            "owner of buckets: draws",
+            "map by workspace",
+            draws * slopes.get("draw, 47000 workspaces") * micro,
+            "ms/s",
+            budget,
+            "",
+        ),
+        row(
+            "owner of buckets: busiest workspace, a tenth of all",
+            "map by workspace",
+            REQUESTS / 10.0 * slopes.get("draw, 100 workspaces") * micro,
+            "ms/s",
+            budget,
+            "spread over data centres by its share",
+        ),
+        row(
+            "configuration: changes applied",
+            "checked as a whole",
+            CHANGES_A_DAY / DAY * apply * micro,
+            "ms/s",
+            budget,
+            "undoing a rejected batch instead of copying the document",
+        ),
+        row(
+            "job lead: chunks",
+            "ledger of a job",
+            items / CHUNK_ITEMS * slopes.get("chunk assigned and committed") * micro,
+            "ms/s",
+            budget,
+            "",
+        ),
+        row(
+            "entry: tokens passed on by a node",
+            "streams, not control",
+            TOKENS / NODES,
+            "tokens/s",
+            None,
+            "the node's own work; not measured here",
+        ),
+    ]
+}
+
+fn memory(slopes: &MeasuredSlopes) -> Vec<CapacityRow> {
+    let budget = Some(MEMORY_BUDGET);
+    let config = WORKSPACES * slopes.get("configuration, for a workspace");
+    let buckets = WORKSPACES * DATA_CENTRES / NODES * slopes.get("bucket, for a workspace");
+    let targets = SERVERS / NODES * slopes.get("target and its leases");
+    vec![
+        row("entry: configuration with keys", "one copy a VM", config, "bytes", budget, ""),
+        row(
+            "owner of buckets: buckets in use, all workspaces in all data centres",
+            "dropped when full",
+            buckets,
+            "bytes",
+            budget,
+            "",
+        ),
+        row(
+            "pool scheduler: a node's part of the targets",
+            "sums and order kept up to date",
+            targets,
+            "bytes",
+            budget,
+            "",
+        ),
+        row(
+            "pool scheduler: busiest pool, 4 times the mean",
+            "sums and order kept up to date",
+            HOTTEST * SERVERS / (MODELS * DATA_CENTRES) * slopes.get("target and its leases"),
+            "bytes",
+            budget,
+            "",
+        ),
+        row(
+            "job lead: largest job's ledger",
+            "a chunk is 1000 items",
+            LARGEST_JOB / CHUNK_ITEMS * 200.0,
+            "bytes",
+            budget,
+            "",
+        ),
+    ]
+}
+
+fn platform() -> Vec<CapacityRow> {
+    let items = ITEMS_A_DAY / DAY;
+    let chunks = items / CHUNK_ITEMS;
+    let jobs = JOBS_A_DAY / DAY;
+    let mean_job = ITEMS_A_DAY / JOBS_A_DAY;
+    let writes = Some(WRITES_BUDGET);
+    let reads = Some(READS_BUDGET);
+    let commits = chunks;
+    vec![
+        row(
+            "job lead: objects written, items and results",
+            "chunks of 1000 items",
+            2.0 * chunks,
+            "writes/s",
+            writes,
+            "",
+        ),
+        row(
+            "job lead: rows written, acceptance, claim, commits at most one a chunk",
+            "many chunks in one conditional write",
+            2.0 * jobs + commits,
+            "writes/s",
+            writes,
+            "",
+        ),
+        row(
+            format!("job lead: writes for 1000 items of a mean job of {mean_job:.0}"),
+            "chunks of 1000 items",
+            (2.0 * chunks + 2.0 * jobs + commits) / items * 1000.0,
+            "writes",
+            Some(5.0),
+            "",
+        ),
+        row(
+            "configuration: edits",
+            "one conditional write",
+            CHANGES_A_DAY / DAY,
+            "writes/s",
+            writes,
+            "",
+        ),
+        row(
+            "configuration readers: head polled",
+            "two readers a data centre, once a second",
+            2.0 * DATA_CENTRES,
+            "reads/s",
+            reads,
+            "",
+        ),
+        row(
+            "peer: list of VMs polled",
+            "every VM once a second",
+            NODES,
+            "reads/s",
+            reads,
+            "two readers a data centre, as for the configuration",
+        ),
+        row(
+            "job lead: active jobs listed",
+            "every VM every 5 s",
+            NODES / 5.0,
+            "reads/s",
+            reads,
+            "",
+        ),
+        row(
+            "job lead: rows watched, 3500 jobs running an hour each",
+            "two rows every 2 s",
+            3500.0,
+            "reads/s",
+            reads,
+            "one list of the cancelled jobs a data centre",
+        ),
+        row(
+            "**sum of reads**",
+            "",
+            2.0 * DATA_CENTRES + NODES + NODES / 5.0 + 3500.0,
+            "reads/s",
+            reads,
+            "the two rows above",
+        ),
+        row(
+            "notices: named calls that the rest of the writes allows",
+            "three conditional writes a call",
+            (WRITES_BUDGET - 3.0 * chunks - 2.0 * jobs - CHANGES_A_DAY / DAY) / 3.0,
+            "calls/s",
+            None,
+            "more only with a larger table",
+        ),
+    ]
+}
+
+fn spread() -> Vec<CapacityRow> {
+    let members = NODES / DATA_CENTRES;
+    let lost_after = 4.0 * (0.025 * members).max(0.4);
+    vec![
+        row(
+            "a VM fails: until its keys have a new owner",
+            "silence of four heartbeats",
+            lost_after,
+            "s",
+            None,
+            "its buckets start empty, its pools ask every VM for its leases",
+        ),
+        row(
+            "VMs lost or replaced",
+            "rendezvous hashing moves only their keys",
+            (FAILED_A_DAY + REPLACED_A_DAY) / DAY * 3600.0,
+            "an hour",
+            None,
+            "each moves 1/36 of a data centre's keys",
+        ),
+        row(
+            "a configuration change in force, poll of the head at worst",
+            "push, then poll, then heartbeats",
+            1.0 + 1.0 + (0.025 * members).max(0.4),
+            "s",
+            Some(17.0),
+            "",
+        ),
+        row(
+            "a data centre is lost: until its jobs are led elsewhere",
+            "silence of its digests",
+            20.0 + 5.0,
+            "s",
+            None,
+            "the fence keeps a lead that was only cut off from committing",
+        ),
+    ]
+}
--- /dev/null
+++ b/crates/ebonydock_bench/src/slopes/measure.rs
@@ -0,0 +1,409 @@
+//! Measures slopes: time of decisions, bytes of messages and of state, cost of idle VMs.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use ebonydock::wire::{
+    AcquireReply, AcquireRequest, ChangeBatch, ChunkOrder, ChunkReport, DataCentreDigest, Envelope,
+    GrantId, GrantReply, GrantRequest, Heartbeat, LeaseGrant, LeaseOutcome, MemberPhase,
+    PeerDatagram, PeerReply, PeerRequest, PoolSummary, ReleaseReport, RequestDemand, VmAddress,
+};
+use ebonydock::{
+    BucketOwner, BucketShare, Change, ChunkLedger, ConfigDocument, ConfigVersion, DataCentreId,
+    Decision, DrawContext, Epoch, JobId, KeyHash, LeaseId, MembershipView, ModelName, ObjectName,
+    PlanName, PoolPolicy, PoolScheduler, RequestClass, StatusReply, TargetEntry, TargetId,
+    VersionedBatch, VmId, WaiterId, WorkspaceEntry, WorkspaceId,
+};
+use ebonydock_standins::{
+    DataCentrePlan, EngineShape, SiteClient, SitePlan, StandInSite, engine_entry,
+};
+use serde::Serialize;
+
+const ROUNDS: u32 = 20_000;
+/// Copies of a state whose size is measured.
+const COPIES: usize = 6;
+const MODEL: &str = "clerk-8b";
+const IDLE_TIME: Duration = Duration::from_secs(4);
+const WORKSPACES: usize = 47_000;
+/// Clock ticks a second of the processor times in `/proc`.
+const TICKS: f64 = 100.0;
+const PAGE_BYTES: f64 = 4096.0;
+
+/// A slope with its unit.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct MeasuredSlope {
+    /// What was measured.
+    pub(crate) name: &'static str,
+    /// The value.
+    pub(crate) value: f64,
+    /// Its unit.
+    pub(crate) unit: &'static str,
+}
+
+/// All slopes of one run.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct MeasuredSlopes {
+    /// The slopes.
+    pub(crate) slopes: Vec<MeasuredSlope>,
+}
+
+impl MeasuredSlopes {
+    /// Measures everything.
+    pub(crate) fn measure() -> Self {
+        // State first, while little memory has been freed that it could use again.
+        let (targets, buckets) = (target_state(), bucket_state());
+        let (config_bytes, apply_ns) = configuration();
+        let mut slopes = Vec::new();
+        let mut add = |name, value, unit| slopes.push(MeasuredSlope { name, value, unit });
+        add("heartbeat message", bytes(&PeerDatagram::Heartbeat(heartbeat(1))), "bytes");
+        add("digest message", bytes(&PeerRequest::Digest(digest())), "bytes");
+        add("acquire, request and reply", acquire_bytes(), "bytes");
+        add("release, request and reply", release_bytes(), "bytes");
+        add("draw, request and reply", draw_bytes(), "bytes");
+        add("change announced", change_bytes(), "bytes");
+        add("chunk, order and report", chunk_bytes(), "bytes");
+        add("heartbeat taken, 36 members", heartbeat_ns(36), "ns");
+        add("acquire and release, 10 targets", schedule_ns(10), "ns");
+        add("acquire and release, 100 targets", schedule_ns(100), "ns");
+        add("acquire and release, 1000 targets", schedule_ns(1000), "ns");
+        add("draw, 100 workspaces", draw_ns(100), "ns");
+        add("draw, 47000 workspaces", draw_ns(WORKSPACES), "ns");
+        add("chunk assigned and committed", chunk_ns(), "ns");
+        add("configuration, for a workspace", config_bytes, "bytes");
+        add("change applied, 47000 workspaces", apply_ns, "ns");
+        add("bucket, for a workspace", buckets, "bytes");
+        add("target and its leases", targets, "bytes");
+        for (name, vms) in [("4 VMs", 4), ("16 VMs", 16), ("48 VMs", 48)] {
+            let idle = idle_vms(vms);
+            let label =
+                |what: &str| -> &'static str { Box::leak(format!("{what}, {name}").into()) };
+            add(label("idle VM, processor"), idle.cpu_ms, "ms/s");
+            add(label("idle VM, sent to VMs"), idle.sent, "bytes/s");
+        }
+        Self { slopes }
+    }
+
+    /// The value of a slope.
+    pub(crate) fn get(&self, name: &str) -> f64 {
+        let slope = self.slopes.iter().find(|slope| slope.name == name);
+        slope.map_or_else(|| unreachable!("no slope `{name}`"), |slope| slope.value)
+    }
+}
+
+fn bytes<T: Serialize + Clone>(body: &T) -> f64 {
+    let envelope = Envelope { from: VmId::from("celje-vm-17"), body: body.clone() };
+    postcard::to_stdvec(&envelope).map_or(0.0, |frame| frame.len() as f64)
+}
+
+fn nanoseconds(rounds: u32, mut round: impl FnMut(u32)) -> f64 {
+    let began = Instant::now();
+    for index in 0..rounds {
+        round(index);
+    }
+    began.elapsed().as_nanos() as f64 / f64::from(rounds)
+}
+
+fn summary() -> PoolSummary {
+    PoolSummary { model: ModelName::from(MODEL), free: 100, waiting: 3 }
+}
+
+fn heartbeat(sequence: u64) -> Heartbeat {
+    Heartbeat {
+        address: ([10, 1, 2, 3], 9000).into(),
+        incarnation: u64::MAX / 3,
+        sequence,
+        echo: sequence,
+        config_version: ConfigVersion(59_000),
+        phase: MemberPhase::Serving,
+        pools: vec![summary()],
+    }
+}
+
+fn digest() -> DataCentreDigest {
+    let address = ([10, 1, 2, 3], 9000).into();
+    let vm = |index| VmAddress { vm: VmId::from(format!("celje-vm-{index}")), address };
+    DataCentreDigest {
+        data_centre: DataCentreId::from("celje"),
+        sequence: u64::MAX / 3,
+        vms: (0..36).map(vm).collect(),
+        config_version: ConfigVersion(59_000),
+        pools: vec![summary(); 12],
+        relay: true,
+    }
+}
+
+fn demand(workspace: usize) -> RequestDemand {
+    RequestDemand {
+        class: RequestClass::Online,
+        workspace: WorkspaceId::from(format!("workspace-{workspace}")),
+        weight: 1.0,
+        prompt_tokens: 300,
+        answer_tokens: 256,
+        prefix: Some(u64::MAX / 5),
+        order: 0,
+    }
+}
+
+fn ask(workspace: usize) -> AcquireRequest {
+    let model = ModelName::from(MODEL);
+    AcquireRequest { model, demand: demand(workspace), wait_ms: 2000, excluded: Vec::new() }
+}
+
+fn report(lease: LeaseId) -> ReleaseReport {
+    ReleaseReport {
+        model: ModelName::from(MODEL),
+        lease,
+        outcome: LeaseOutcome::Completed,
+        tokens: 256,
+        token_micros: 22_000,
+        start_id: u64::MAX / 3,
+    }
+}
+
+fn acquire_bytes() -> f64 {
+    let grant = LeaseGrant {
+        lease: LeaseId(u64::MAX / 3),
+        target: TargetId::from("celje-engine-12"),
+        address: "10.1.2.3:8000".to_owned(),
+        start_id: u64::MAX / 3,
+        probe: false,
+    };
+    bytes(&PeerRequest::Acquire(ask(7))) + bytes(&PeerReply::Acquire(AcquireReply::Granted(grant)))
+}
+
+fn release_bytes() -> f64 {
+    bytes(&PeerRequest::Release(report(LeaseId(u64::MAX / 3)))) + bytes(&PeerReply::Done)
+}
+
+fn grant_request(workspace: usize, grant: u64) -> GrantRequest {
+    let workspace = WorkspaceId::from(format!("workspace-{workspace}"));
+    GrantRequest { workspace, grant: GrantId(grant), want: 1, closed: vec![GrantId(grant - 1)] }
+}
+
+fn draw_bytes() -> f64 {
+    let reply = GrantReply { tokens: 1, lifetime_ms: 300, retry_after_ms: 0, owner: true };
+    bytes(&PeerRequest::Draw(grant_request(7, 1 << 40))) + bytes(&PeerReply::Grant(reply))
+}
+
+fn change(index: usize) -> VersionedBatch {
+    let hash = KeyHash::of(&index.to_string());
+    let workspace = WorkspaceId::from(format!("workspace-{}", index % WORKSPACES));
+    let version = ConfigVersion(index as u64 + 2);
+    VersionedBatch { version, changes: vec![Change::GiveKey(hash, workspace)] }
+}
+
+fn change_bytes() -> f64 {
+    bytes(&PeerRequest::Announce(ChangeBatch { batches: vec![change(1)], relay: false }))
+}
+
+fn chunk_bytes() -> f64 {
+    let name = |part: &str| {
+        ObjectName::from(format!("jobs/workspace-7/estimates-2026-12-04/0123456789abcdef/{part}"))
+    };
+    let order = ChunkOrder {
+        workspace: WorkspaceId::from("workspace-7"),
+        job: JobId::from("estimates-2026-12-04"),
+        epoch: Epoch(3),
+        chunk: 17,
+        input: name("in-17"),
+        due: 1_800_000_000,
+    };
+    let report = ChunkReport { output: name("out-17"), completed: 1000, failed: 0 };
+    bytes(&PeerRequest::RunChunk(order)) + bytes(&PeerReply::Chunk(report))
+}
+
+fn heartbeat_ns(members: u64) -> f64 {
+    let own = VmId::from("own");
+    let mut view = MembershipView::open(&own, Duration::ZERO);
+    let names: Vec<VmId> = (0..members).map(|index| VmId::from(format!("vm-{index}"))).collect();
+    nanoseconds(ROUNDS, |round| {
+        let now = Duration::from_millis(round.into());
+        let vm = &names[round as usize % names.len()];
+        view.receive(now, vm, &heartbeat(round.into()));
+        black_box(view.next_heartbeat(now, vm));
+    })
+}
+
+fn entries(count: usize) -> Vec<TargetEntry> {
+    let shape = EngineShape::default();
+    let address = ([10, 1, 2, 3], 8000).into();
+    let entry = |index| engine_entry(&format!("engine-{index}"), "celje", address, &shape);
+    (0..count).map(entry).collect()
+}
+
+fn warm_scheduler(targets: usize) -> PoolScheduler {
+    let now = Duration::ZERO;
+    let mut scheduler = PoolScheduler::open(PoolPolicy::default(), 1, Vec::new(), now);
+    let entries = entries(targets);
+    scheduler.set_targets(now, &entries);
+    for entry in &entries {
+        scheduler.note_status(now, &entry.target, 7, true);
+    }
+    scheduler
+}
+
+/// One request with its release, while half of what the pool bears runs, from many workspaces.
+fn schedule_ns(targets: usize) -> f64 {
+    let mut scheduler = warm_scheduler(targets);
+    let vm = VmId::from("vm-1");
+    let mut held = std::collections::VecDeque::new();
+    let half = targets;
+    nanoseconds(ROUNDS, |round| {
+        let now = Duration::from_micros(u64::from(round) * 50);
+        let mut request = ask(round as usize % WORKSPACES);
+        request.demand.prefix = Some(u64::from(round % 512));
+        let decisions = scheduler.acquire(now, &vm, WaiterId(round.into()), request);
+        for decision in decisions {
+            if let Decision::Grant(_, grant) = decision {
+                held.push_back(grant.lease);
+            }
+        }
+        if held.len() > half
+            && let Some(lease) = held.pop_front()
+        {
+            black_box(scheduler.release(now, &report(lease)));
+        }
+    })
+}
+
+fn draw_ns(workspaces: usize) -> f64 {
+    let mut owner = BucketOwner::default();
+    let vm = VmId::from("vm-1");
+    let bucket = BucketShare { rate: 1e6, burst: 1e6 };
+    nanoseconds(ROUNDS * 5, |round| {
+        let now = Duration::from_micros(u64::from(round) * 10) + Duration::from_secs(5);
+        let context = DrawContext { now, bucket, share: 1.0 };
+        let request = grant_request(round as usize % workspaces, u64::from(round) + 1);
+        black_box(owner.draw(&context, &vm, &request));
+    })
+}
+
+fn chunk_ns() -> f64 {
+    let vms: Vec<VmId> = (0..36).map(|index| VmId::from(format!("vm-{index}"))).collect();
+    let mut ledger = ChunkLedger::open(ROUNDS, []);
+    let report = ChunkReport { output: ObjectName::from("out"), completed: 1000, failed: 0 };
+    nanoseconds(ROUNDS, |_| {
+        if let Some((chunk, _)) = ledger.assign(&vms, 2) {
+            ledger.finish(chunk, Some(report.clone()));
+            ledger.commit([chunk]);
+        }
+    })
+}
+
+fn resident_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE_BYTES
+}
+
+/// Bytes for each workspace, and time to apply one change.
+fn configuration() -> (f64, f64) {
+    let mut document = ConfigDocument::default();
+    let entry = |index: usize| WorkspaceEntry {
+        workspace: WorkspaceId::from(format!("workspace-{index}")),
+        plan: PlanName::from("standard"),
+        rate: 10.0,
+        burst: 20.0,
+        weight: 1.0,
+    };
+    let set = (0..WORKSPACES).map(|index| Change::SetWorkspace(entry(index)));
+    let give = (0..WORKSPACES).map(|index| {
+        let key = KeyHash::of(&format!("key {index}"));
+        Change::GiveKey(key, WorkspaceId::from(format!("workspace-{index}")))
+    });
+    let batch = VersionedBatch { version: ConfigVersion(1), changes: set.chain(give).collect() };
+    let _ = document.apply(&batch);
+    drop(batch);
+    let state = state_bytes(|| document.clone()) / WORKSPACES as f64;
+    let changes: Vec<VersionedBatch> = (0..40).map(change).collect();
+    let apply = nanoseconds(40, |round| {
+        let _ = black_box(document.apply(&changes[round as usize]));
+    });
+    (state, apply)
+}
+
+/// Bytes that one of several copies of a state takes. The first copies may use memory that was freed
+/// before, so only the later ones count.
+fn state_bytes<T>(mut make: impl FnMut() -> T) -> f64 {
+    let mut copies: Vec<T> = (0..COPIES).map(|_| make()).collect();
+    let before = resident_bytes();
+    copies.extend((0..COPIES).map(|_| make()));
+    let after = resident_bytes();
+    black_box(&copies);
+    (after - before).max(0.0) / COPIES as f64
+}
+
+fn bucket_state() -> f64 {
+    let vm = VmId::from("vm-1");
+    let bucket = BucketShare { rate: 10.0, burst: 20.0 };
+    let context = DrawContext { now: Duration::from_secs(5), bucket, share: 1.0 };
+    let make = || {
+        let mut owner = BucketOwner::default();
+        for workspace in 0..WORKSPACES {
+            owner.draw(&context, &vm, &grant_request(workspace, 1));
+        }
+        owner
+    };
+    state_bytes(make) / WORKSPACES as f64
+}
+
+fn target_state() -> f64 {
+    const TARGETS: usize = 1000;
+    let vm = VmId::from("vm-1");
+    let make = || {
+        let mut scheduler = warm_scheduler(TARGETS);
+        for round in 0..TARGETS * 2 {
+            let request = ask(round);
+            black_box(scheduler.acquire(Duration::ZERO, &vm, WaiterId(round as u64), request));
+        }
+        scheduler
+    };
+    state_bytes(make) / TARGETS as f64
+}
+
+/// What an idle VM costs in a data centre of several.
+struct IdleCost {
+    cpu_ms: f64,
+    sent: f64,
+}
+
+fn process_cpu_ms() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> =
+        text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+    (ticks(11) + ticks(12)) * 1000.0 / TICKS
+}
+
+fn idle_vms(vms: usize) -> IdleCost {
+    let folder = std::env::temp_dir().join(format!("ebonydock-slopes-{}", std::process::id()));
+    let data_centre =
+        DataCentrePlan { name: "celje".into(), vms, engines: Vec::new(), services: 0 };
+    let plan = SitePlan { data_centres: vec![data_centre], ..SitePlan::default() };
+    let site = match StandInSite::open(&plan, &folder) {
+        Ok(site) => site,
+        Err(error) => unreachable!("the site did not start: {error}"),
+    };
+    let system = ntex::rt::System::new("slopes", ntex::rt::DefaultRuntime);
+    let idle = system.block_on(async move {
+        let client = SiteClient::open().await;
+        tokio::time::sleep(IDLE_TIME).await;
+        let before = (process_cpu_ms(), sent_bytes(&client, &site).await);
+        tokio::time::sleep(IDLE_TIME).await;
+        let after = (process_cpu_ms(), sent_bytes(&client, &site).await);
+        let seconds = IDLE_TIME.as_secs_f64();
+        IdleCost {
+            cpu_ms: (after.0 - before.0) / seconds / vms as f64,
+            sent: (after.1 - before.1) / seconds,
+        }
+    });
+    let _ = std::fs::remove_dir_all(&folder);
+    idle
+}
+
+async fn sent_bytes(client: &SiteClient, site: &StandInSite) -> f64 {
+    let Some(address) = site.operators(0) else { return 0.0 };
+    let (_, text) = client.operate(address, "/operator/v1/status", None).await;
+    let status: Option<StatusReply> = serde_json::from_str(&text).ok();
+    status.map_or(0.0, |status| status.peer_wire_bytes.0 as f64)
+}
--- /dev/null
+++ b/crates/ebonydock_bench/src/slopes/mod.rs
@@ -0,0 +1,39 @@
+//! `slopes`: what each part of the state and each decision costs, and what follows at the full size.
+
+mod capacity;
+mod measure;
+
+use getopts::Options;
+
+use crate::slopes::capacity::CapacityPage;
+use crate::slopes::measure::MeasuredSlopes;
+
+const PAGE: &str = "docs/CAPACITY.md";
+
+/// Measures the slopes and prints the page.
+pub(crate) fn run(arguments: &[String]) -> Result<(), String> {
+    let mut options = Options::new();
+    options.optopt("", "json", "write the slopes as JSON", "FILE");
+    options.optflag("", "write", "write the tables into docs/CAPACITY.md");
+    options.optflag("", "check", "fail unless the page's slopes are within a factor of two");
+    let matches = options.parse(arguments).map_err(|error| error.to_string())?;
+    let slopes = MeasuredSlopes::measure();
+    let page = CapacityPage::of(&slopes);
+    if let Some(file) = matches.opt_str("json") {
+        let json = serde_json::to_string_pretty(&slopes).map_err(|error| error.to_string())?;
+        std::fs::write(&file, json).map_err(|error| format!("cannot write `{file}`: {error}"))?;
+    }
+    if matches.opt_present("check") {
+        let text =
+            std::fs::read_to_string(PAGE).map_err(|e| format!("cannot read `{PAGE}`: {e}"))?;
+        return page.check(&text);
+    }
+    if matches.opt_present("write") {
+        let text =
+            std::fs::read_to_string(PAGE).map_err(|e| format!("cannot read `{PAGE}`: {e}"))?;
+        let text = page.insert_into(&text)?;
+        return std::fs::write(PAGE, text).map_err(|e| format!("cannot write `{PAGE}`: {e}"));
+    }
+    print!("{}", page.text());
+    Ok(())
+}
