Capacity: state measured from the smallest to the largest

Cause: the page gave 0 bytes for a workspace's configuration: its copies used memory that the larger bucket copies had freed. Ruled out: clones that share memory (a clone of the document copies its maps).

--- a/crates/ebonydock_bench/src/slopes/measure.rs
+++ b/crates/ebonydock_bench/src/slopes/measure.rs
@@ -50,9 +50,10 @@
 impl MeasuredSlopes {
     /// Measures everything.
     pub(crate) fn measure() -> Self {
-        // State first, while little memory has been freed that it could use again.
-        let (targets, buckets) = (target_state(), bucket_state());
+        // State first and the smallest before the larger: what was freed would be used again.
+        let targets = target_state();
         let (config_bytes, apply_ns) = configuration();
+        let buckets = bucket_state();
         let mut slopes = Vec::new();
         let mut add = |name, value, unit| slopes.push(MeasuredSlope { name, value, unit });
         add("heartbeat message", bytes(&PeerDatagram::Heartbeat(heartbeat(1))), "bytes");
