--- a/crates/ebonydock_bench/src/slopes/measure.rs
+++ b/crates/ebonydock_bench/src/slopes/measure.rs
@@ -21,7 +21,7 @@
 
 const ROUNDS: u32 = 20_000;
 /// Copies of a state whose size is measured.
-const COPIES: usize = 6;
+const COPIES: usize = 12;
 const MODEL: &str = "clerk-8b";
 const IDLE_TIME: Duration = Duration::from_secs(4);
 const WORKSPACES: usize = 47_000;
@@ -314,8 +314,8 @@
     });
     let batch = VersionedBatch { version: ConfigVersion(1), changes: set.chain(give).collect() };
     let _ = document.apply(&batch);
-    drop(batch);
     let state = state_bytes(|| document.clone()) / WORKSPACES as f64;
+    black_box(&batch);
     let changes: Vec<VersionedBatch> = (0..40).map(change).collect();
     let apply = nanoseconds(40, |round| {
         let _ = black_box(document.apply(&changes[round as usize]));
