Stand-ins: one function lists a notice server

Cause: the site in a process and the tests' site of processes built the same listing. Change: notice_entry serves both, beside engine_entry. Ruled out: sharing the fake table's read with the HTTP adapter's; only the trait's signature is the same.

--- a/crates/ebonydock_standins/src/lib.rs
+++ b/crates/ebonydock_standins/src/lib.rs
@@ -16,5 +16,5 @@
 pub use service::{ServiceFault, ServiceStandIn};
 pub use site::{
     CALLER_KEYS, DataCentrePlan, OPERATOR_KEY, SiteClient, SiteEngine, SitePlan, SiteVm,
-    StandInSite, VmPlan, chat_body, engine_entry, settings_text,
+    StandInSite, VmPlan, chat_body, engine_entry, notice_entry, settings_text,
 };
--- a/crates/ebonydock_standins/src/site.rs
+++ b/crates/ebonydock_standins/src/site.rs
@@ -105,6 +105,17 @@
     }
 }
 
+/// A notice server as the platform lists it.
+pub fn notice_entry(name: &str, data_centre: &str, address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        target: TargetId::from(name),
+        data_centre: DataCentreId::from(data_centre),
+        address: address.to_string(),
+        leaving: false,
+        role: TargetRole::Service(ServiceName::from("notices")),
+    }
+}
+
 /// What differs between the settings of VMs.
 pub struct VmPlan<'a> {
     /// The name.
@@ -302,14 +313,10 @@
             })
         });
         let engines = self.engines.iter().map(|engine| engine.entry.clone());
-        let services =
-            self.services.iter().enumerate().map(|(index, (data_centre, service))| TargetEntry {
-                target: TargetId::from(format!("{data_centre}-notices-{index}")),
-                data_centre: DataCentreId::from(data_centre.as_str()),
-                address: service.address().to_string(),
-                leaving: false,
-                role: TargetRole::Service(ServiceName::from("notices")),
-            });
+        let services = self.services.iter().enumerate().map(|(index, (data_centre, service))| {
+            let name = format!("{data_centre}-notices-{index}");
+            notice_entry(&name, data_centre, service.address())
+        });
         let targets = engines.chain(services).collect();
         self.platform.set_fleet(FleetListing { vms: vms.collect(), targets });
     }
--- a/crates/ebonydockd/tests/site/support.rs
+++ b/crates/ebonydockd/tests/site/support.rs
@@ -8,12 +8,13 @@
 
 use ebonydock::{
     AccessEntry, Change, ConfigReply, ConfigVersion, DataCentreId, EditBody, FleetListing, KeyHash,
-    ModelName, PlanName, PoolPolicy, RouteRule, ServiceName, StatusReply, TargetEntry, TargetId,
-    TargetRole, VmEntry, VmId, WorkspaceEntry, WorkspaceId,
+    ModelName, PlanName, PoolPolicy, RouteRule, ServiceName, StatusReply, VmEntry, VmId,
+    WorkspaceEntry, WorkspaceId,
 };
 use ebonydock_standins::{
     CALLER_KEYS, EngineShape, EngineStandIn, FaultProxy, PeerCertificates, PlatformStandIn,
-    ServiceStandIn, SiteClient, VmPlan, engine_entry, make_certificates, settings_text,
+    ServiceStandIn, SiteClient, VmPlan, engine_entry, make_certificates, notice_entry,
+    settings_text,
 };
 use ntex::http::{Method, StatusCode};
 use serde_json::Value;
@@ -187,14 +188,9 @@
             let name = format!("engine-{index}");
             engine_entry(&name, data_centre, engine.address(), &engine.shape())
         });
-        let services =
-            self.services.iter().enumerate().map(|(index, (data_centre, service))| TargetEntry {
-                target: TargetId::from(format!("notices-{index}")),
-                data_centre: DataCentreId::from(data_centre.as_str()),
-                address: service.address().to_string(),
-                leaving: false,
-                role: TargetRole::Service(ServiceName::from("notices")),
-            });
+        let services = self.services.iter().enumerate().map(|(index, (data_centre, service))| {
+            notice_entry(&format!("notices-{index}"), data_centre, service.address())
+        });
         let targets = engines.chain(services).collect();
         self.platform.set_fleet(FleetListing { vms: vms.collect(), targets });
     }
