Scheduling: an idle target is taken as possibly restarted

A target counted as confirmed for a second after its last answer; one that restarted without a trace while nothing ran there, and got a burst within that second, got its full limit. The new random operation (an idle target restarts) found a second hole: a start whose age nobody knows was taken as old as the scheduler. Ruled out: a shorter time of trust, since any length leaves the same hole. Change: a target bears its limit only while an answer runs that is known to come from its present start, because a restart would break it off; two such answers are asked for. A start that is met for the first time counts as cold from then on, unless the target's own status says that it is warm.

--- a/crates/ebonydock/src/scheduling/scheduler.rs
+++ b/crates/ebonydock/src/scheduling/scheduler.rs
@@ -75,6 +75,8 @@
     granted_at: Duration,
     charged: f64,
     revoked: bool,
+    /// The start that the answer is known to come from; 0 if it did not report.
+    witnessed_start: u64,
 }
 
 /// What a target contributes to the sums over the pool.
@@ -234,9 +236,14 @@
 
     /// Takes the start of an answer.
     pub fn started(&mut self, now: Duration, report: &StartReport) -> Vec<Decision> {
-        let Some(lease) = self.leases.get(&report.lease) else { return Vec::new() };
+        let Some(lease) = self.leases.get_mut(&report.lease) else { return Vec::new() };
         let target = lease.target.clone();
+        let first = lease.witnessed_start == 0 && report.start_id != 0;
+        lease.witnessed_start = report.start_id;
         self.confirm_start(now, &target, report.start_id);
+        if let Some(state) = self.targets.get_mut(&target).filter(|_| first) {
+            state.add_witness();
+        }
         self.reindex(now, &target);
         self.dispatch(now)
     }
@@ -270,7 +277,7 @@
         warm: bool,
     ) -> Vec<Decision> {
         if let Some(state) = self.targets.get_mut(target) {
-            state.note_status(start_id, warm);
+            state.note_status(now, start_id, warm);
         }
         self.reindex(now, target);
         self.dispatch(now)
@@ -428,6 +435,7 @@
             granted_at: now,
             charged,
             revoked: false,
+            witnessed_start: 0,
         };
         self.insert_lease(lease, record);
         Decision::Grant(waiter.id, grant)
@@ -446,7 +454,7 @@
             target: target.clone(),
             address: state.as_ref().map(|state| state.address.clone()).unwrap_or_default(),
             start_id: state.as_ref().map_or(0, |state| state.start_id),
-            probe: state.as_ref().is_some_and(|state| state.wants_probe(now)),
+            probe: state.as_ref().is_some_and(|state| state.wants_probe()),
         };
         if let Some(state) = state {
             state.start(demand);
@@ -474,6 +482,9 @@
         }
         if let Some(state) = self.targets.get_mut(&lease.target) {
             state.finish(&lease.demand);
+            if lease.witnessed_start != 0 {
+                state.remove_witness(lease.witnessed_start);
+            }
         }
         Some(lease)
     }
@@ -515,8 +526,8 @@
 
     fn is_within_bound(&self, now: Duration, waiter: &Waiter, state: &TargetState) -> bool {
         let mean = f64::from(self.in_flight) / f64::from(self.capacity.max(1));
-        let own = f64::from(state.in_flight) / f64::from(state.capacity(now).max(1));
-        let one = 1.0 / f64::from(state.capacity(now).max(1));
+        let own = f64::from(state.in_flight) / f64::from(state.capacity().max(1));
+        let one = 1.0 / f64::from(state.capacity().max(1));
         self.admits(now, waiter, state) && own <= AFFINITY_BOUND * mean + one
     }
 
@@ -568,6 +579,7 @@
             granted_at: now,
             charged: 0.0,
             revoked: false,
+            witnessed_start: 0,
         };
         self.insert_lease(record.lease, lease);
         self.reindex(now, &record.target);
--- a/crates/ebonydock/src/scheduling/target_state.rs
+++ b/crates/ebonydock/src/scheduling/target_state.rs
@@ -8,8 +8,9 @@
 
 /// A target in cold start becomes warm after its stated time and at least this many answers.
 const COLD_ANSWERS: u32 = 2;
-/// A start that was not confirmed by an answer for this long is probed before full load goes there.
-const START_FRESH: Duration = Duration::from_secs(1);
+/// Answers that run and are known to come from the target's present start; below this number the next
+/// answer is asked to report its start.
+const WANTED_WITNESSES: u32 = 2;
 const FIRST_BLOCK: Duration = Duration::from_millis(50);
 const LONGEST_BLOCK: Duration = Duration::from_secs(3);
 const OVERLOAD_BLOCK: Duration = Duration::from_millis(200);
@@ -54,7 +55,7 @@
     cache_tokens: u32,
     limit: f64,
     distrusted_start: u64,
-    confirmed_at: Option<Duration>,
+    witnesses: u32,
     failures: u32,
     blocked_until: Duration,
     best_token: Option<f64>,
@@ -77,7 +78,7 @@
             cache_tokens: 0,
             limit: f64::from(capability.max_sequences),
             distrusted_start: 0,
-            confirmed_at: None,
+            witnesses: 0,
             failures: 0,
             blocked_until: Duration::ZERO,
             best_token: None,
@@ -97,18 +98,23 @@
     }
 
     /// The sequences that the target bears now.
-    pub fn capacity(&self, now: Duration) -> u32 {
+    pub fn capacity(&self) -> u32 {
         let limit = self.learned_limit();
-        let fresh = self.confirmed_at.is_some_and(|at| now.saturating_sub(at) < START_FRESH);
         match self.warmth {
-            TargetWarmth::Warm if fresh => limit,
+            TargetWarmth::Warm if self.is_witnessed() => limit,
             TargetWarmth::Warm | TargetWarmth::Cold { .. } => {
                 limit.min(self.capability.cold_sequences)
             }
         }
     }
 
-    /// The sequences that the target bears once its start is confirmed.
+    /// Whether a restart would be seen, because answers would break off. A target that runs nothing may
+    /// have restarted without a trace.
+    fn is_witnessed(&self) -> bool {
+        self.witnesses > 0 || self.in_flight > self.capability.cold_sequences
+    }
+
+    /// The sequences that the target bears once an answer runs there.
     pub fn nominal_capacity(&self) -> u32 {
         match self.warmth {
             TargetWarmth::Warm => self.learned_limit(),
@@ -117,13 +123,13 @@
     }
 
     /// Whether the next answer should be reported as soon as it starts.
-    pub fn wants_probe(&self, now: Duration) -> bool {
-        self.confirmed_at.is_none_or(|at| now.saturating_sub(at) >= START_FRESH / 2)
+    pub fn wants_probe(&self) -> bool {
+        self.witnesses < WANTED_WITNESSES
     }
 
     /// The load in thousandths of what the target bears; full from 1000 on.
     pub fn load(&self, now: Duration) -> u32 {
-        let capacity = self.capacity(now);
+        let capacity = self.capacity();
         if capacity == 0 || self.leaving || self.is_blocked(now) {
             return u32::MAX;
         }
@@ -164,19 +170,34 @@
         if start_id == 0 {
             return false;
         }
-        let restarted = self.start_id != 0 && self.start_id != start_id;
-        self.start_id = start_id;
-        self.confirmed_at = Some(now);
-        if restarted {
+        let known = self.start_id != 0;
+        if self.start_id != start_id {
+            // Nobody knows for how long a start that was not met before has been running.
+            self.start_id = start_id;
+            self.witnesses = 0;
             self.warmth = TargetWarmth::Cold { since: now, answers: 0 };
+            return known;
+        }
+        false
+    }
+
+    /// Counts an answer that runs and came from the present start.
+    pub fn add_witness(&mut self) {
+        self.witnesses += 1;
+    }
+
+    /// Takes the end of such an answer; those of an earlier start do not count any more.
+    pub fn remove_witness(&mut self, start_id: u64) {
+        if start_id == self.start_id {
+            self.witnesses = self.witnesses.saturating_sub(1);
         }
-        restarted
     }
 
     /// Takes a status report, which may be older than what answers showed.
-    pub fn note_status(&mut self, start_id: u64, warm: bool) {
+    pub fn note_status(&mut self, now: Duration, start_id: u64, warm: bool) {
         if self.start_id == 0 {
             self.start_id = start_id;
+            self.warmth = TargetWarmth::Cold { since: now, answers: 0 };
         }
         if warm && start_id == self.start_id && start_id != self.distrusted_start {
             self.warmth = TargetWarmth::Warm;
@@ -208,7 +229,7 @@
         self.blocked_until = now + block.min(LONGEST_BLOCK);
         self.warmth = TargetWarmth::Cold { since: now, answers: 0 };
         self.distrusted_start = self.start_id;
-        self.confirmed_at = None;
+        self.witnesses = 0;
     }
 
     /// Takes a refusal because of overload.
--- a/crates/ebonydock/src/scheduling/tests.rs
+++ b/crates/ebonydock/src/scheduling/tests.rs
@@ -72,6 +72,10 @@
     revoked: BTreeSet<LeaseId>,
     /// Grants to targets in cold start that are still held.
     cold_grants: BTreeMap<TargetId, BTreeSet<LeaseId>>,
+    /// Targets that restarted while nothing ran there, with the time.
+    restarted: BTreeMap<TargetId, Duration>,
+    /// The start that answers report at once if they are asked to.
+    reported_start: Option<u64>,
     next_waiter: u64,
 }
 
@@ -88,6 +92,8 @@
             answered: BTreeSet::new(),
             revoked: BTreeSet::new(),
             cold_grants: BTreeMap::new(),
+            restarted: BTreeMap::new(),
+            reported_start: None,
             next_waiter: 0,
         }
     }
@@ -95,6 +101,7 @@
     /// A pool whose targets are warm and have just answered.
     fn warm(policy: PoolPolicy, targets: usize) -> Self {
         let mut pool = Self::open(policy, targets);
+        pool.reported_start = Some(7);
         for index in 0..targets {
             let id = TargetId::from(format!("engine-{index}"));
             let decisions = pool.scheduler.note_status(pool.now, &id, 7, true);
@@ -105,11 +112,6 @@
         }
         let leases: Vec<LeaseId> = pool.held.keys().copied().collect();
         assert_eq!(leases.len(), targets);
-        for lease in &leases {
-            let start = StartReport { model: ModelName::from(MODEL), lease: *lease, start_id: 7 };
-            let decisions = pool.scheduler.started(pool.now, &start);
-            pool.take(decisions);
-        }
         for lease in leases {
             pool.release(lease, LeaseOutcome::Completed, 7);
         }
@@ -127,6 +129,12 @@
         waiter
     }
 
+    fn report_start(&mut self, lease: LeaseId, start_id: u64) {
+        let report = StartReport { model: ModelName::from(MODEL), lease, start_id };
+        let decisions = self.scheduler.started(self.now, &report);
+        self.take(decisions);
+    }
+
     fn release(&mut self, lease: LeaseId, outcome: LeaseOutcome, start_id: u64) {
         self.held.remove(&lease);
         self.revoked.remove(&lease);
@@ -155,6 +163,9 @@
                         cold.insert(grant.lease);
                     }
                     self.held.insert(grant.lease, (grant.target, class));
+                    if let Some(start) = self.reported_start.filter(|_| grant.probe) {
+                        self.report_start(grant.lease, start);
+                    }
                 }
                 Decision::Refuse(waiter, _) => {
                     assert!(self.answered.insert(waiter), "a request was answered twice");
@@ -179,6 +190,10 @@
                 "`{target}` got too much in cold start"
             );
         }
+        for (target, restarted_at) in &self.restarted {
+            let cold = self.now.saturating_sub(*restarted_at) < Duration::from_millis(COLD_MS);
+            assert!(!cold || held(target) <= COLD_SEQUENCES as usize, "`{target}` was toppled");
+        }
         let (online, _) = self.scheduler.waiting();
         if online > 0 {
             let demand = demand(RequestClass::Online, 0);
@@ -202,6 +217,8 @@
     ObeyRevokes,
     Pass(u64),
     Status { target: usize, warm: bool },
+    Start(usize),
+    RestartIdle(usize),
 }
 
 fn operations() -> impl Strategy<Value = Vec<Operation>> {
@@ -220,6 +237,8 @@
         4 => (1u64..400).prop_map(Operation::Pass),
         1 => (0usize..3, any::<bool>())
             .prop_map(|(target, warm)| Operation::Status { target, warm }),
+        4 => any::<usize>().prop_map(Operation::Start),
+        2 => (0usize..3).prop_map(Operation::RestartIdle),
     ];
     prop::collection::vec(operation, 1..200)
 }
@@ -256,10 +275,26 @@
             let now = pool.now;
             if warm {
                 pool.cold_grants.remove(&id);
+                pool.restarted.remove(&id);
             }
             let decisions = pool.scheduler.note_status(now, &id, start, warm);
             pool.take(decisions);
         }
+        Operation::Start(index) => {
+            let Some((lease, (target, _))) = pool.held.iter().nth(index % pool.held.len().max(1))
+            else {
+                return;
+            };
+            let (lease, start) = (*lease, *start_ids.get(target).unwrap_or(&7));
+            pool.report_start(lease, start);
+        }
+        Operation::RestartIdle(target) => {
+            let id = TargetId::from(format!("engine-{target}"));
+            if pool.held.values().all(|(target, _)| *target != id) {
+                *start_ids.entry(id.clone()).or_insert(7) += 1;
+                pool.restarted.insert(id, pool.now);
+            }
+        }
     }
 }
 
@@ -372,12 +407,9 @@
 #[test]
 fn a_silent_restart_drops_the_target_to_its_cold_limit() {
     let mut pool = Pool::warm(PoolPolicy::default(), 1);
+    pool.reported_start = Some(8);
     let first = pool.acquire(RequestClass::Online, 0, 1000);
     assert!(pool.answered.contains(&first));
-    let lease = *pool.held.keys().next().unwrap();
-    let start = StartReport { model: ModelName::from(MODEL), lease, start_id: 8 };
-    let decisions = pool.scheduler.started(pool.now, &start);
-    pool.take(decisions);
     for _ in 0..5 {
         pool.acquire(RequestClass::Online, 0, 1000);
     }
@@ -385,6 +417,19 @@
     pool.check();
 }
 
+#[test]
+fn an_idle_target_gets_its_cold_limit_until_an_answer_began() {
+    let mut pool = Pool::warm(PoolPolicy::default(), 1);
+    pool.reported_start = None;
+    for _ in 0..SEQUENCES {
+        pool.acquire(RequestClass::Online, 0, 1000);
+    }
+    assert_eq!(pool.held.len(), COLD_SEQUENCES as usize);
+    let lease = *pool.held.keys().next().unwrap();
+    pool.report_start(lease, 7);
+    assert_eq!(pool.held.len(), SEQUENCES as usize);
+}
+
 #[test]
 fn a_leaving_target_gets_nothing_new() {
     let mut pool = Pool::warm(PoolPolicy::default(), 2);
