Faults: a run with a fault every few seconds and a verdict on every promise

Cause: the promises were shown one fault at a time; nothing ran them together. At the end: each answer its own, every `not_run` true by the engines' and services' own records, no stream cut at a VM that was not lost, notices at most once, each accepted item once, versions never back and the last one everywhere. Exits 1 with the trace on a breach. Found by it: a VM could not be started from within a runtime (it blocked on the runtime's channel; `mix` with a VM coming back would have ended the same way); now a plain channel. Reading a streamed answer stood three times; it is one function of the stand-ins. Not yet seen failing with a mechanism taken out.

--- a/crates/ebonydock/src/vm/handle.rs
+++ b/crates/ebonydock/src/vm/handle.rs
@@ -2,12 +2,12 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::sync::Arc;
+use std::sync::{Arc, mpsc as blocking};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use ntex::web::{App, HttpServer};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
 use crate::jobs::JobLeads;
 use crate::peers::{PeerEndpoint, TlsIdentity};
@@ -58,7 +58,8 @@
             private_key: read(&settings.tls.private_key)?,
         };
         let (commands, receiver) = mpsc::unbounded_channel();
-        let (started, starting) = oneshot::channel();
+        // Not the runtime's channel: a VM may also be started from within a runtime.
+        let (started, starting) = blocking::sync_channel(1);
         let name = settings.vm.to_string();
         let run = move || {
             let system = ntex::rt::System::new(&name, ntex::rt::DefaultRuntime);
@@ -66,7 +67,7 @@
         };
         let thread = std::thread::Builder::new().name("vm".to_owned()).spawn(run);
         let thread = thread.map_err(|error| error.to_string())?;
-        let addresses = starting.blocking_recv().map_err(|error| error.to_string())??;
+        let addresses = starting.recv().map_err(|error| error.to_string())??;
         Ok(Self { addresses, commands, thread: Some(thread) })
     }
 
@@ -117,7 +118,7 @@
     listener.map_err(|error| format!("cannot bind `{address}`: {error}"))
 }
 
-type StartReport = oneshot::Sender<Result<VmAddresses, String>>;
+type StartReport = blocking::SyncSender<Result<VmAddresses, String>>;
 
 async fn run_vm(
     settings: VmSettings,
--- a/crates/ebonydock_bench/src/demo/mod.rs
+++ b/crates/ebonydock_bench/src/demo/mod.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use ebonydock_standins::{
-    CALLER_KEYS, SiteClient, SitePlan, StandInSite, chat_body, expected_answer,
+    CALLER_KEYS, SiteClient, SitePlan, StandInSite, StreamEnd, chat_body, expected_answer,
 };
-use futures_util::StreamExt;
 use getopts::Options;
 use ntex::http::Method;
 use serde_json::Value;
@@ -58,25 +57,16 @@
 async fn show_answer(client: &SiteClient, address: SocketAddr) -> Result<(), String> {
     let question = "When is the wedding band ready?";
     let body = chat_body(MODEL, question, TOKENS, true);
-    let url = format!("http://{address}/v1/chat/completions");
     let key = format!("{CALLER_KEYS}zlatnik");
     let began = std::time::Instant::now();
-    let response = client.send(Method::POST, url, Some(&key), &[], body).await;
-    let response = response.map_err(|error| error.to_string())?;
-    if !response.status().is_success() {
-        let body = response.body().await.unwrap_or_default();
-        return Err(format!("failed: the answer was refused: {}", String::from_utf8_lossy(&body)));
-    }
-    let mut stream = response.take_payload();
-    let mut text = String::new();
     let mut first = None;
-    while let Some(part) = stream.next().await {
+    let answer = client.stream_chat(address, &key, body, || {
         first.get_or_insert_with(|| began.elapsed());
-        text.push_str(&String::from_utf8_lossy(&part.map_err(|error| error.to_string())?));
-    }
-    let answer: String = text.lines().filter_map(content_of).collect();
+    });
+    let answer = answer.await;
+    expect(answer.end == StreamEnd::Done, &format!("the answer is incomplete: {:?}", answer.end))?;
     let prompt = format!("<|user|>\n{question}\n");
-    expect(answer == expected_answer(&prompt, TOKENS), "the answer is not the engine's")?;
+    expect(answer.text == expected_answer(&prompt, TOKENS), "the answer is not the engine's")?;
     let first = first.unwrap_or_default();
     println!(
         "answer: {TOKENS} tokens, first after {first:.0?}, whole after {:.0?}",
@@ -85,11 +75,6 @@
     Ok(())
 }
 
-fn content_of(line: &str) -> Option<String> {
-    let event: Value = serde_json::from_str(line.strip_prefix("data: ")?).ok()?;
-    event["choices"][0]["delta"]["content"].as_str().map(str::to_owned)
-}
-
 async fn show_job(client: &SiteClient, address: SocketAddr) -> Result<(), String> {
     let line = |index: usize| {
         let body = serde_json::json!({
--- /dev/null
+++ b/crates/ebonydock_bench/src/faults/mod.rs
@@ -0,0 +1,128 @@
+//! `faults`: a site under load with a fault every few seconds, and a check of every promise at the end.
+
+mod books;
+mod callers;
+mod injector;
+mod jobs;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ebonydock_standins::{
+    DataCentrePlan, EngineShape, PlatformFault, SiteClient, SitePlan, StandInSite,
+};
+use futures_util::future::join_all;
+use getopts::Options;
+
+use crate::faults::books::RunBooks;
+use crate::faults::injector::FaultInjector;
+
+pub(crate) const MODEL: &str = "clerk-8b";
+const DEFAULT_SECONDS: u64 = 60;
+const ONLINE_CALLERS: usize = 8;
+const NOTICE_CALLERS: usize = 3;
+
+/// What every part of a run works on.
+pub(crate) struct FaultRun {
+    /// The site.
+    pub(crate) site: RefCell<StandInSite>,
+    /// What was seen.
+    pub(crate) books: RefCell<RunBooks>,
+    /// A caller of the site.
+    pub(crate) client: SiteClient,
+    /// The seed of the run.
+    pub(crate) seed: u64,
+    /// How long callers and faults go on.
+    pub(crate) length: Duration,
+}
+
+fn plan() -> SitePlan {
+    let shape = EngineShape { cold_ms: 500, step_us: 8000, ..EngineShape::default() };
+    let data_centre = |name: &str| DataCentrePlan {
+        name: name.to_owned(),
+        vms: 3,
+        engines: vec![shape.clone(); 2],
+        services: 1,
+    };
+    let data_centres = vec![data_centre("celje"), data_centre("maribor")];
+    SitePlan { data_centres, chunk_items: 50, ..SitePlan::default() }
+}
+
+/// Runs the site under faults.
+pub(crate) fn run(arguments: &[String]) -> Result<(), String> {
+    let mut options = Options::new();
+    options.optopt("", "seed", "the seed of faults and load", "N");
+    options.optopt("", "seconds", "how long faults go on", "S");
+    let matches = options.parse(arguments).map_err(|error| error.to_string())?;
+    let number = |name: &str, default: u64| {
+        let parsed = matches.opt_str(name).map_or(Ok(default), |text| text.parse());
+        parsed.map_err(|_| format!("`--{name}` must be a whole number"))
+    };
+    let seed = number("seed", 1)?;
+    let length = Duration::from_secs(number("seconds", DEFAULT_SECONDS)?);
+    let folder = std::env::temp_dir().join(format!("ebonydock-faults-{}", std::process::id()));
+    let site = StandInSite::open(&plan(), &folder).map_err(|error| error.to_string())?;
+    let system = ntex::rt::System::new("faults", ntex::rt::DefaultRuntime);
+    let result = system.block_on(run_site(site, seed, length));
+    let _ = std::fs::remove_dir_all(&folder);
+    result
+}
+
+async fn run_site(site: StandInSite, seed: u64, length: Duration) -> Result<(), String> {
+    let client = SiteClient::open().await;
+    site.configure(&client).await.map_err(|error| error.to_string())?;
+    let mut books = RunBooks::open();
+    for index in 0..site.vms.len() {
+        books.serving.extend(site.callers(index).map(|callers| (index, callers)));
+    }
+    let site = RefCell::new(site);
+    let run = Rc::new(FaultRun { site, books: RefCell::new(books), client, seed, length });
+    let online = join_all((0..ONLINE_CALLERS).map(|caller| callers::ask(&run, caller)));
+    let notices = join_all((0..NOTICE_CALLERS).map(|caller| callers::notify(&run, caller)));
+    let jobs = jobs::submit(&run);
+    let edits = callers::edit(&run);
+    let watch = callers::watch_versions(&run);
+    let faults = FaultInjector::open(&run).inject();
+    futures_util::join!(online, notices, jobs, edits, watch, faults);
+    heal(&run).await;
+    jobs::check(&run).await;
+    callers::check_versions(&run).await;
+    check_notices(&run);
+    run.books.borrow().verdict()
+}
+
+/// Ends every fault; callers wait for what was accepted.
+async fn heal(run: &Rc<FaultRun>) {
+    run.site.borrow().platform.set_fault(PlatformFault::default());
+    for (_, service) in &run.site.borrow().services {
+        service.set_fault(ebonydock_standins::ServiceFault::default());
+    }
+    let addresses: Vec<_> =
+        run.books.borrow().serving.iter().map(|(_, address)| *address).collect();
+    for address in addresses {
+        if let Err(error) = run.client.wait_until_serving(address, Duration::from_secs(30)).await {
+            run.books.borrow_mut().breach(format!("not serving again: {error}"));
+        }
+    }
+}
+
+/// Compares what callers were told with what the services counted.
+fn check_notices(run: &Rc<FaultRun>) {
+    let site = run.site.borrow();
+    let mut books = run.books.borrow_mut();
+    let mut delivered = std::collections::HashMap::new();
+    for (_, service) in &site.services {
+        for (body, count) in service.deliveries() {
+            *delivered.entry(body).or_insert(0) += count;
+        }
+    }
+    for notice in std::mem::take(&mut books.notices) {
+        let count = delivered.get(&notice.body).copied().unwrap_or(0);
+        let told = notice.acknowledged;
+        if count > 1 || (told && count == 0) || (notice.never_run && count > 0) {
+            books.breach(format!("`{notice:?}` was delivered {count} times"));
+        }
+        books.counts.notices_delivered += count;
+    }
+}
--- a/crates/ebonydock_bench/src/main.rs
+++ b/crates/ebonydock_bench/src/main.rs
@@ -1,6 +1,7 @@
 //! `ebonydock_bench`: the demo, the load tool and the experiments.
 
 mod demo;
+mod faults;
 mod mix;
 mod slopes;
 
@@ -14,6 +15,8 @@
 
 Commands:
   demo [--keep]   a whole site in one process: a streamed answer, a batch job and a notice
+  faults [--seed N] [--seconds S]
+                  a fault every few seconds under load; exits 1 if a promise was broken
   mix [--scenario FILE] [--seed N] [--json FILE] [--only TEXT]
                   online and batch together, a row for each policy
   slopes [--json FILE] [--write | --check]
@@ -46,6 +49,7 @@
     };
     let result = match command.as_str() {
         "demo" => demo::run(rest),
+        "faults" => faults::run(rest),
         "mix" => mix::run(rest),
         "slopes" => slopes::run(rest),
         "help" | "--help" | "-h" => {
--- a/crates/ebonydock_bench/src/mix/load.rs
+++ b/crates/ebonydock_bench/src/mix/load.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use ebonydock_standins::{CALLER_KEYS, SiteClient, StandInSite, chat_body, expected_answer};
-use futures_util::StreamExt;
+use ebonydock_standins::{
+    CALLER_KEYS, SiteClient, StandInSite, StreamEnd, StreamedAnswer, chat_body, expected_answer,
+};
 use futures_util::future::join_all;
 use ntex::http::Method;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use serde_json::Value;
 
 use crate::mix::scenario::{MixScenario, OfferedLoad};
 
@@ -184,60 +184,33 @@
     let began = Instant::now();
     let key = format!("{CALLER_KEYS}{}", scenario.workspaces[workspace].name);
     let body = chat_body(&scenario.model, content, scenario.answer_tokens, true);
-    let url = format!("http://{address}/v1/chat/completions");
-    let mut first = Duration::ZERO;
-    let answer = read_answer(client, url, &key, body, || first = began.elapsed());
+    let mut first = None;
+    let answer = client.stream_chat(address, &key, body, || {
+        first.get_or_insert_with(|| began.elapsed());
+    });
     let answer = tokio::time::timeout(ANSWER_LIMIT, answer).await;
+    let first = first.unwrap_or_default();
     let prompt = format!("<|user|>\n{content}\n");
+    let expected = expected_answer(&prompt, scenario.answer_tokens);
     let outcome = match answer {
-        Ok(Ok(text)) if text == expected_answer(&prompt, scenario.answer_tokens) => {
-            SampleOutcome::Whole
-        }
-        Ok(Ok(_)) => SampleOutcome::Wrong,
-        Ok(Err(outcome)) => outcome,
-        Err(_) => broken(format!(
-            "no end in time from {address}, first token after {first:?}, workspace {workspace}"
-        )),
+        Ok(answer) => outcome_of(&answer, &expected),
+        Err(_) => broken(&format!("no end in time from {address}, first token after {first:?}")),
     };
     Sample { workspace, outcome, first, whole: began.elapsed() }
 }
 
-fn broken(error: impl std::fmt::Display) -> SampleOutcome {
-    log::warn!("mix: An answer broke off: {error}.");
-    SampleOutcome::Broken
+fn outcome_of(answer: &StreamedAnswer, expected: &str) -> SampleOutcome {
+    match &answer.end {
+        StreamEnd::Done if answer.text == expected => SampleOutcome::Whole,
+        StreamEnd::Done => SampleOutcome::Wrong,
+        StreamEnd::Refused(429, _) => SampleOutcome::RateLimited,
+        StreamEnd::Refused(..) => SampleOutcome::Refused,
+        StreamEnd::Failed(event) => broken(&event.to_string()),
+        StreamEnd::Cut(error) => broken(error),
+    }
 }
 
-async fn read_answer(
-    client: &SiteClient,
-    url: String,
-    key: &str,
-    body: Vec<u8>,
-    mut on_first: impl FnMut(),
-) -> Result<String, SampleOutcome> {
-    let response = client.send(Method::POST, url, Some(key), &[], body).await;
-    let response = response.map_err(broken)?;
-    match response.status().as_u16() {
-        200 => {}
-        429 => return Err(SampleOutcome::RateLimited),
-        _ => return Err(SampleOutcome::Refused),
-    }
-    let mut payload = response.take_payload();
-    let mut raw = Vec::new();
-    while let Some(part) = payload.next().await {
-        if raw.is_empty() {
-            on_first();
-        }
-        raw.extend_from_slice(&part.map_err(broken)?);
-    }
-    let raw = String::from_utf8_lossy(&raw).into_owned();
-    if !raw.contains("data: [DONE]") {
-        let tail: String =
-            raw.chars().rev().take(200).collect::<Vec<_>>().into_iter().rev().collect();
-        return Err(broken(format!("no end after {} bytes: {tail}", raw.len())));
-    }
-    let content = |line: &str| {
-        let event: Value = serde_json::from_str(line.strip_prefix("data: ")?).ok()?;
-        event["choices"][0]["delta"]["content"].as_str().map(str::to_owned)
-    };
-    Ok(raw.lines().filter_map(content).collect())
+fn broken(error: &str) -> SampleOutcome {
+    log::warn!("mix: An answer broke off: {error}.");
+    SampleOutcome::Broken
 }
--- /dev/null
+++ b/crates/ebonydock_standins/src/answers.rs
@@ -0,0 +1,105 @@
+//! Reading streamed answers as a caller does.
+
+use std::net::SocketAddr;
+
+use futures_util::StreamExt;
+use ntex::http::Method;
+use serde_json::Value;
+
+use crate::site::{SiteClient, chat_body};
+
+/// How a streamed answer ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamEnd {
+    /// With its last event.
+    Done,
+    /// It did not begin: the status and the refusal.
+    Refused(u16, Value),
+    /// With an error event, which says why.
+    Failed(Value),
+    /// Without either; the sentence says what broke.
+    Cut(String),
+}
+
+/// A streamed answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StreamedAnswer {
+    /// The text that came.
+    pub text: String,
+    /// How it ended.
+    pub end: StreamEnd,
+}
+
+impl StreamedAnswer {
+    fn without_text(end: StreamEnd) -> Self {
+        Self { text: String::new(), end }
+    }
+}
+
+impl SiteClient {
+    /// Asks for a streamed chat answer and reads it; `on_first` is called when something of it arrived.
+    pub async fn stream_chat(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        body: Vec<u8>,
+        mut on_first: impl FnMut(),
+    ) -> StreamedAnswer {
+        let url = format!("http://{address}/v1/chat/completions");
+        let response = match self.send(Method::POST, url, Some(key), &[], body).await {
+            Ok(response) => response,
+            Err(error) => return StreamedAnswer::without_text(StreamEnd::Cut(error.to_string())),
+        };
+        let status = response.status().as_u16();
+        if status != 200 {
+            let body = response.body().await.unwrap_or_default();
+            let refusal = serde_json::from_slice(&body).unwrap_or_default();
+            return StreamedAnswer::without_text(StreamEnd::Refused(status, refusal));
+        }
+        let mut payload = response.take_payload();
+        let mut raw = Vec::new();
+        let mut broken = None;
+        while let Some(part) = payload.next().await {
+            match part {
+                Ok(part) => raw.extend_from_slice(&part),
+                Err(error) => broken = Some(error.to_string()),
+            }
+            if broken.is_some() {
+                break;
+            }
+            on_first();
+        }
+        parse_events(&String::from_utf8_lossy(&raw), broken)
+    }
+
+    /// Asks for a streamed chat answer to one question.
+    pub async fn stream_question(
+        &self,
+        address: SocketAddr,
+        key: &str,
+        model: &str,
+        question: &str,
+        max_tokens: u32,
+    ) -> StreamedAnswer {
+        let body = chat_body(model, question, max_tokens, true);
+        self.stream_chat(address, key, body, || {}).await
+    }
+}
+
+fn parse_events(raw: &str, broken: Option<String>) -> StreamedAnswer {
+    let mut text = String::new();
+    let mut end = StreamEnd::Cut(broken.unwrap_or_else(|| "it ended early".to_owned()));
+    for data in raw.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            end = StreamEnd::Done;
+            continue;
+        }
+        let event: Value = serde_json::from_str(data).unwrap_or_default();
+        if event.get("error").is_some() {
+            end = StreamEnd::Failed(event);
+        } else if let Some(content) = event["choices"][0]["delta"]["content"].as_str() {
+            text.push_str(content);
+        }
+    }
+    StreamedAnswer { text, end }
+}
--- a/crates/ebonydock_standins/src/engine.rs
+++ b/crates/ebonydock_standins/src/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine with continuous batching, a prefix cache in limited memory and a cold start.
 
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -121,6 +121,8 @@
     crossed: bool,
     frozen: bool,
     counters: EngineCounters,
+    /// Hashes of all prompts that came.
+    prompts: HashSet<u64>,
 }
 
 #[derive(Clone)]
@@ -182,6 +184,7 @@
             crossed: false,
             frozen: false,
             counters: EngineCounters::default(),
+            prompts: HashSet::new(),
             shape,
         }
     }
@@ -242,6 +245,7 @@
 
     fn admit(&mut self, request: &GenerateRequest) -> mpsc::UnboundedReceiver<EngineEvent> {
         let prompt = request.prompt.as_bytes();
+        self.prompts.insert(xxh3_64(prompt));
         let cached = prompt.get(..PREFIX_BYTES).is_some_and(|prefix| self.touch(xxh3_64(prefix)));
         let tokens = (prompt.len() / BYTES_PER_TOKEN + 1) as f64;
         let unread = if cached { tokens * (1.0 - CACHED_PART) } else { tokens };
@@ -350,6 +354,11 @@
         self.engine.lock().running.len()
     }
 
+    /// Whether a request with this prompt was ever taken.
+    pub fn has_seen(&self, prompt: &str) -> bool {
+        self.engine.lock().prompts.contains(&xxh3_64(prompt.as_bytes()))
+    }
+
     /// What happened so far.
     pub fn counters(&self) -> EngineCounters {
         self.engine.lock().counters
--- a/crates/ebonydock_standins/src/lib.rs
+++ b/crates/ebonydock_standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems around ebonydock: platform, model engines, plain services, and a network
 //! that fails on command. Used by tests, the demo and the experiments.
 
+mod answers;
 mod certificates;
 mod engine;
 mod platform;
@@ -9,6 +10,7 @@
 mod service;
 mod site;
 
+pub use answers::{StreamEnd, StreamedAnswer};
 pub use certificates::{PeerCertificates, make_certificates};
 pub use engine::{EngineCounters, EngineShape, EngineStandIn, expected_answer};
 pub use platform::{PlatformCounters, PlatformFault, PlatformStandIn};
