Jobs: a lead learns from the list of active jobs that its job has ended or gone

Ruled out: a second list of cancelled jobs (another read for each VM); watching the progress row only (half of it). Change: a cancel takes the job off the lists in the write that cancels it, and signals the other data centres through one VM each, as configuration changes do. A VM that lists the active jobs, every 5 s as before, has the leads of unlisted jobs look at their rows. A claim now depends on the job's row, since a job that was cancelled in between would be listed again.

--- a/crates/ebonydock/src/jobs/acceptance.rs
+++ b/crates/ebonydock/src/jobs/acceptance.rs
@@ -220,7 +220,7 @@
         }
         None => {
             log::info!("jobs: Accepted `{}` with {} items.", submission.key.job, row.items);
-            signal_members(context, &submission.key);
+            signal_members(context, &submission.key, false);
             Ok((row, ProgressRow::default()))
         }
     }
@@ -254,9 +254,13 @@
         }
         row.state = JobState::Cancelled;
         let attempt = AttemptId::random();
-        let transaction = TableTransaction::default()
+        // The data centre that lists the job is not known here; its scan misses the job there.
+        let mut transaction = TableTransaction::default()
             .require(&key.job_row(), version)
             .write(&key.job_row(), encode_row(&row, &attempt));
+        for data_centre in &context.settings().data_centres {
+            transaction = transaction.delete(&key.active_row(data_centre));
+        }
         let table = context.table.as_ref();
         let witness = key.job_row();
         match write_once(table, &transaction, &witness, &attempt, WRITE_TRIES).await? {
@@ -264,16 +268,24 @@
             WriteOutcome::Lost => {}
         }
     }
-    signal_members(context, key);
+    signal_members(context, key, true);
     Ok(())
 }
 
-/// Tells every VM of the data centre, the VM itself included, to look at a job.
-fn signal_members(context: &Rc<VmContext>, key: &JobKey) {
+/// Tells every VM of the data centre, the VM itself included, to look at a job; if `far`, one VM of
+/// each other data centre too, which relays.
+pub(crate) fn signal_members(context: &Rc<VmContext>, key: &JobKey, far: bool) {
+    let signal = |relay| {
+        let (workspace, job) = (key.workspace.clone(), key.job.clone());
+        PeerRequest::Job(JobSignal { workspace, job, relay })
+    };
     let members: Vec<_> = context.shared.membership().members().map(|(vm, _)| vm.clone()).collect();
-    let signal = JobSignal { workspace: key.workspace.clone(), job: key.job.clone() };
     for vm in members {
-        send_in_background(context, vm, PeerRequest::Job(signal.clone()));
+        send_in_background(context, vm, signal(false));
+    }
+    let relays = if far { context.shared.relays() } else { Vec::new() };
+    for vm in relays {
+        send_in_background(context, vm, signal(true));
     }
     context.shared.wake_job(key.clone());
 }
--- a/crates/ebonydock/src/jobs/lead.rs
+++ b/crates/ebonydock/src/jobs/lead.rs
@@ -22,8 +22,8 @@
 /// Finished chunks are collected for this long before they are committed together.
 const COMMIT_PAUSE: Duration = Duration::from_millis(400);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// A lead looks at the job's row after this time even when nothing finished.
-const WATCH_PAUSE: Duration = Duration::from_secs(2);
+/// After this time VMs that failed a chunk are tried again, and an unanswered write is repeated.
+const LEAD_PAUSE: Duration = Duration::from_secs(2);
 /// No new chunk is handed out while this many are finished and not committed.
 const UNCOMMITTED_LIMIT: usize = 64;
 
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Has the leads of jobs that are not in `listed` look at their rows: those jobs have ended, or
+    /// another VM has claimed them.
+    pub(crate) fn wake_unlisted(&self, listed: &HashSet<JobKey>) {
+        let leads = self.leads.borrow();
+        for (_, notify) in leads.iter().filter(|(key, _)| !listed.contains(key)) {
+            notify.notify_one();
+        }
+    }
+
     /// Starts to lead a job in the background.
     pub(crate) fn spawn(self: &Rc<Self>, context: &Rc<VmContext>, key: JobKey, home: DataCentreId) {
         let notify = Rc::new(Notify::new());
@@ -110,7 +119,9 @@
         progress.epoch = Epoch(progress.epoch.0 + 1);
         progress.lead = Some(context.settings().vm.clone());
         let marker = ProgressRow { chunks: std::collections::BTreeMap::new(), ..progress.clone() };
+        // The job must not have been cancelled in between: it would be listed again.
         let mut transaction = TableTransaction::default()
+            .require(&key.job_row(), row_version)
             .require(&key.progress_row(), version)
             .write(&key.progress_row(), encode_row(&progress, &attempt));
         transaction = if row.state == JobState::Running {
@@ -146,8 +157,10 @@
         let (sender, mut outcomes) = mpsc::unbounded_channel::<ChunkOutcome>();
         let mut tasks = Vec::new();
         let mut shunned: HashSet<VmId> = HashSet::new();
+        let mut unanswered = false;
         loop {
             self.hand_out(&sender, &mut tasks, &shunned);
+            let mut due = true;
             tokio::select! {
                 outcome = outcomes.recv() => {
                     if let Some((chunk, vm, report)) = outcome {
@@ -159,9 +172,17 @@
                     }
                 }
                 () = notify.notified() => {}
-                () = tokio::time::sleep(WATCH_PAUSE) => shunned.clear(),
+                () = tokio::time::sleep(LEAD_PAUSE) => {
+                    shunned.clear();
+                    due = unanswered || !self.ledger.finished().is_empty();
+                }
+            }
+            if !due {
+                continue;
             }
-            match self.commit().await? {
+            let outcome = self.commit().await?;
+            unanswered = outcome == CommitOutcome::Unanswered;
+            match outcome {
                 CommitOutcome::Committed if self.ledger.is_complete() => return Ok(()),
                 CommitOutcome::Committed => {}
                 CommitOutcome::Unanswered => tokio::time::sleep(RETRY_PAUSE).await,
--- a/crates/ebonydock/src/jobs/messages.rs
+++ b/crates/ebonydock/src/jobs/messages.rs
@@ -32,11 +32,13 @@
     pub failed: u32,
 }
 
-/// Tells the VMs of a data centre that a job was accepted or cancelled.
+/// Tells VMs that a job was accepted or cancelled.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct JobSignal {
     /// The workspace of the job.
     pub workspace: WorkspaceId,
     /// The job.
     pub job: JobId,
+    /// Whether the receiver tells the other VMs of its data centre.
+    pub relay: bool,
 }
--- a/crates/ebonydock/src/jobs/scanner.rs
+++ b/crates/ebonydock/src/jobs/scanner.rs
@@ -1,5 +1,6 @@
 //! Finding jobs to lead.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +19,8 @@
 /// Looks through the active jobs and leads those that fall to this VM.
 pub(crate) async fn scan_jobs(context: &Rc<VmContext>, leads: &Rc<JobLeads>) -> PlatformResult<()> {
     let own = context.settings().data_centre.clone();
-    scan_data_centre(context, leads, &own).await?;
+    let listed = scan_data_centre(context, leads, &own).await?;
+    leads.wake_unlisted(&listed);
     for lost in inherited_data_centres(context) {
         scan_data_centre(context, leads, &lost).await?;
     }
@@ -41,43 +43,44 @@
     lost.into_iter().filter(|id| heir(id)).cloned().collect()
 }
 
+/// Returns the jobs that are listed with this VM as their lead.
 async fn scan_data_centre(
     context: &Rc<VmContext>,
     leads: &Rc<JobLeads>,
     data_centre: &DataCentreId,
-) -> PlatformResult<()> {
+) -> PlatformResult<HashSet<JobKey>> {
     let prefix = format!("active/{data_centre}/");
     let mut after = String::new();
+    let mut listed = HashSet::new();
     loop {
         let rows = context.table.list(&prefix, &after, PAGE).await?;
         for row in &rows {
-            consider(context, leads, data_centre, &prefix, row)?;
+            listed.extend(consider(context, leads, data_centre, &prefix, row)?);
         }
         match rows.last() {
             Some(row) if rows.len() == PAGE => after = row.key.to_string(),
-            _ => return Ok(()),
+            _ => return Ok(listed),
         }
     }
 }
 
+/// Leads a job if it falls to this VM. Returns it if it is listed with this VM as its lead.
 fn consider(
     context: &Rc<VmContext>,
     leads: &Rc<JobLeads>,
     data_centre: &DataCentreId,
     prefix: &str,
     row: &TableRow,
-) -> PlatformResult<()> {
-    let Some(name) = row.key.as_str().strip_prefix(prefix) else { return Ok(()) };
-    let Some((workspace, job)) = name.split_once('/') else { return Ok(()) };
+) -> PlatformResult<Option<JobKey>> {
+    let Some(name) = row.key.as_str().strip_prefix(prefix) else { return Ok(None) };
+    let Some((workspace, job)) = name.split_once('/') else { return Ok(None) };
     let key = JobKey { workspace: WorkspaceId::from(workspace), job: JobId::from(job) };
-    if leads.contains(&key) {
-        return Ok(());
-    }
     let marker: ProgressRow = decode_row(&row.value)?;
-    if should_lead(context, &key, marker.lead.as_ref()) {
-        leads.spawn(context, key, data_centre.clone());
+    if !leads.contains(&key) && should_lead(context, &key, marker.lead.as_ref()) {
+        leads.spawn(context, key.clone(), data_centre.clone());
     }
-    Ok(())
+    let own = marker.lead.as_ref() == Some(&context.settings().vm);
+    Ok(own.then_some(key))
 }
 
 /// A job stays with its lead while that VM serves; otherwise its owner takes it.
--- a/crates/ebonydock/src/operators/changes.rs
+++ b/crates/ebonydock/src/operators/changes.rs
@@ -5,7 +5,6 @@
 use crate::configuration::VersionedBatch;
 use crate::configuration::messages::{ChangeBatch, ChangeReply};
 use crate::ids::VmId;
-use crate::ownership::owner_of;
 use crate::peers::messages::PeerRequest;
 use crate::routing::send_in_background;
 use crate::vm::VmContext;
@@ -35,24 +34,8 @@
     if !far {
         return;
     }
-    for vm in relays(context) {
+    for vm in context.shared.relays() {
         let batch = ChangeBatch { batches: batches.to_vec(), relay: true };
         send_in_background(context, vm, PeerRequest::Announce(batch));
     }
 }
-
-/// One VM of each other data centre.
-fn relays(context: &VmContext) -> Vec<VmId> {
-    let settings = context.settings();
-    let others = settings.data_centres.iter().filter(|id| **id != settings.data_centre);
-    let fleet = context.shared.fleet();
-    let relay = |data_centre| {
-        let digest = fleet.digest(crate::clock::monotonic(), data_centre);
-        let vms: Vec<VmId> = match digest {
-            Some(digest) => digest.vms.iter().map(|entry| entry.vm.clone()).collect(),
-            None => fleet.vms_of(data_centre).into_iter().map(|entry| entry.vm).collect(),
-        };
-        owner_of("relay", &vms).cloned()
-    };
-    others.filter_map(relay).collect()
-}
--- a/crates/ebonydock/src/vm/context.rs
+++ b/crates/ebonydock/src/vm/context.rs
@@ -223,6 +223,21 @@
         owner_of(key, &candidates).cloned()
     }
 
+    /// One VM of each other data centre, to pass messages on there.
+    pub(crate) fn relays(&self) -> Vec<VmId> {
+        let own = &self.settings.data_centre;
+        let others = self.settings.data_centres.iter().filter(|id| *id != own);
+        let fleet = self.fleet();
+        let relay = |data_centre| {
+            let vms: Vec<VmId> = match fleet.digest(monotonic(), data_centre) {
+                Some(digest) => digest.vms.iter().map(|entry| entry.vm.clone()).collect(),
+                None => fleet.vms_of(data_centre).into_iter().map(|entry| entry.vm).collect(),
+            };
+            owner_of("relay", &vms).cloned()
+        };
+        others.filter_map(relay).collect()
+    }
+
     /// The VM that owns a key in any data centre, as far as known.
     pub(crate) fn owner_in(&self, data_centre: &DataCentreId, key: &str) -> Option<VmId> {
         if *data_centre == self.settings.data_centre {
--- a/crates/ebonydock/src/vm/handler.rs
+++ b/crates/ebonydock/src/vm/handler.rs
@@ -7,7 +7,7 @@
 use crate::clock::monotonic;
 use crate::configuration::messages::ChangeReply;
 use crate::ids::VmId;
-use crate::jobs::{JobKey, run_chunk};
+use crate::jobs::{JobKey, run_chunk, signal_members};
 use crate::limits::admission::{draw_from_own, lend_from_own, take_over_buckets};
 use crate::membership::messages::DataCentreDigest;
 use crate::operators::{announce, apply_reply};
@@ -73,7 +73,12 @@
                 Err(error) => PeerReply::Rejected(error.to_string()),
             },
             PeerRequest::Job(signal) => {
-                shared.wake_job(JobKey { workspace: signal.workspace, job: signal.job });
+                let key = JobKey { workspace: signal.workspace, job: signal.job };
+                if signal.relay {
+                    signal_members(context, &key, false);
+                } else {
+                    shared.wake_job(key);
+                }
                 PeerReply::Done
             }
             PeerRequest::Digest(digest) => {
--- a/crates/ebonydockd/tests/site/durable.rs
+++ b/crates/ebonydockd/tests/site/durable.rs
@@ -114,6 +114,25 @@
     assert_eq!(site.get(1, "/v1/batches/quotes", "zlatnik").await.0, 404);
 }
 
+#[ntex::test]
+async fn a_job_cancelled_in_a_cut_off_data_centre_stops() {
+    let site = site_with_jobs(&["celje", "ptuj"], 1).await;
+    site.post(0, "/v1/batches?name=quotes", "association", items(20_000, 20)).await;
+    site.until("items run", async || completed(&site, 0, "quotes").await > 0).await;
+    // Only the platform still joins the two, so no message tells the lead.
+    for proxy in &site.proxies {
+        proxy.set_fault(ProxyFault::Cut);
+    }
+    let (status, _) = site.post(1, "/v1/batches/quotes/cancel", "association", String::new()).await;
+    assert_eq!(status, 200);
+    site.until("nothing runs", async || site.engines.iter().all(|(_, e)| e.running() == 0)).await;
+    ntex::time::sleep(Duration::from_secs(2)).await;
+    assert!(site.engines.iter().all(|(_, engine)| engine.running() == 0));
+    assert!(completed(&site, 0, "quotes").await < 20_000);
+    let left = site.platform.row("active/celje/association/quotes");
+    assert_eq!(left, None, "an ended job is listed");
+}
+
 #[ntex::test]
 async fn items_that_can_not_be_done_hold_up_nothing() {
     let site = site_with_jobs(&["celje"], 2).await;
--- a/crates/ebonydockd/tests/site/online.rs
+++ b/crates/ebonydockd/tests/site/online.rs
@@ -3,8 +3,7 @@
 use std::time::{Duration, Instant};
 
 use ebonydock::{Change, DataCentreId, KeyHash};
-use ebonydock_standins::{EngineShape, chat_body, expected_answer};
-use futures_util::StreamExt;
+use ebonydock_standins::{EngineShape, StreamEnd, chat_body, expected_answer};
 use futures_util::future::join_all;
 use ntex::http::Method;
 use serde_json::Value;
@@ -21,22 +20,9 @@
 
 /// The text of a streamed answer, and whether it ended as a whole one.
 async fn stream(site: &Site, vm: usize, name: &str, content: &str, tokens: u32) -> (String, bool) {
-    let url = format!("http://{}/v1/chat/completions", site.vms[vm].callers);
-    let body = chat_body(MODEL, content, tokens, true);
-    let response = site.client.send(Method::POST, url, Some(&key(name)), &[], body).await;
-    let Ok(response) = response else { return (String::new(), false) };
-    let mut payload = response.take_payload();
-    let mut raw = Vec::new();
-    while let Some(part) = payload.next().await {
-        let Ok(part) = part else { break };
-        raw.extend_from_slice(&part);
-    }
-    let raw = String::from_utf8_lossy(&raw).into_owned();
-    let content = |line: &str| {
-        let event: Value = serde_json::from_str(line.strip_prefix("data: ")?).ok()?;
-        event["choices"][0]["delta"]["content"].as_str().map(str::to_owned)
-    };
-    (raw.lines().filter_map(content).collect(), raw.contains("data: [DONE]"))
+    let address = site.vms[vm].callers;
+    let answer = site.client.stream_question(address, &key(name), MODEL, content, tokens).await;
+    (answer.text, answer.end == StreamEnd::Done)
 }
 
 #[ntex::test]
