--- a/crates/ebonydock_bench/src/main.rs
+++ b/crates/ebonydock_bench/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod faults;
 mod mix;
+mod overhead;
 mod slopes;
 
 use std::alloc::System;
@@ -25,6 +26,8 @@
                   a fault every few seconds under load; exits 1 if a promise was broken
   mix [--scenario FILE] [--seed N] [--json FILE] [--only TEXT]
                   online and batch together, a row for each policy
+  overhead [--requests N]
+                  what a VM adds to a request, against the engine called directly
   slopes [--json FILE] [--write | --check]
                   what state and decisions cost, and what follows at the full size
 ";
@@ -57,6 +60,7 @@
         "demo" => demo::run(rest),
         "faults" => faults::run(rest),
         "mix" => mix::run(rest),
+        "overhead" => overhead::run(rest),
         "slopes" => slopes::run(rest),
         "help" | "--help" | "-h" => {
             print!("{USAGE}");
--- a/crates/ebonydock_bench/src/slopes/measure.rs
+++ b/crates/ebonydock_bench/src/slopes/measure.rs
@@ -356,7 +356,8 @@
     sent: f64,
 }
 
-fn process_cpu_ms() -> f64 {
+/// Processor time of the process so far, in milliseconds.
+pub(crate) fn process_cpu_ms() -> f64 {
     let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
     let fields: Vec<&str> =
         text.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
--- a/crates/ebonydock_bench/src/slopes/mod.rs
+++ b/crates/ebonydock_bench/src/slopes/mod.rs
@@ -3,6 +3,8 @@
 mod capacity;
 mod measure;
 
+pub(crate) use crate::slopes::measure::process_cpu_ms;
+
 use getopts::Options;
 
 use crate::slopes::capacity::CapacityPage;
