Limits: a VM whose bucket owner does not answer borrows from other data centres itself

Cause: in the 10 s after a VM is lost, callers inside their rate were refused: until the lost owner is replaced nobody could draw, and the draw's timeout of 500 ms used up most of the 600 ms that a request waits. Ruled out: a longer wait (the first token is due within 1 s); a second holder of the bucket (two owners, or messages for each token). Change: the VM asks the owners in the other data centres for a loan of its own; a lender counts it like any other loan, and closed grants are named by VM and number, so strictness stays as it is. A draw times out after 250 ms. With one data centre there is nobody to borrow from.

--- a/crates/ebonydock/src/limits/admission.rs
+++ b/crates/ebonydock/src/limits/admission.rs
@@ -11,7 +11,7 @@
 use crate::peers::messages::{PeerReply, PeerRequest};
 use crate::vm::VmShared;
 
-const DRAW_TIMEOUT: Duration = Duration::from_millis(500);
+const DRAW_TIMEOUT: Duration = Duration::from_millis(250);
 const LEND_TIMEOUT: Duration = Duration::from_millis(250);
 /// A request waits this long in all for a token that is about to come.
 const PATIENCE: Duration = Duration::from_millis(600);
@@ -73,7 +73,7 @@
             let reply = shared.request(&owner, PeerRequest::Draw(request), DRAW_TIMEOUT).await;
             match reply {
                 Ok(PeerReply::Grant(reply)) => reply,
-                Ok(_) | Err(_) => GrantReply::not_owner(),
+                Ok(_) | Err(_) => borrow_for_self(shared, entry, grant, want).await,
             }
         }
     };
@@ -141,20 +141,19 @@
     shared.buckets().lend(&draw_context(shared, &entry), from, request)
 }
 
-async fn borrow(shared: &VmShared, entry: &WorkspaceEntry, want: u32) -> bool {
+/// The owners of a workspace's bucket in other data centres, which take turns.
+fn lenders(shared: &VmShared, workspace: &WorkspaceId) -> Vec<VmId> {
     let settings = &shared.settings;
     let others = settings.data_centres.iter().filter(|id| **id != settings.data_centre);
     let mut others: Vec<&DataCentreId> = others.collect();
-    if others.is_empty() {
-        return false;
-    }
-    // Lenders take turns.
-    let turn = NEXT_GRANT.load(Ordering::Relaxed) as usize % others.len();
+    let turn = NEXT_GRANT.load(Ordering::Relaxed) as usize % others.len().max(1);
     others.rotate_left(turn);
-    for data_centre in others {
-        let Some(lender) = shared.owner_in(data_centre, &bucket_key(&entry.workspace)) else {
-            continue;
-        };
+    let key = bucket_key(workspace);
+    others.into_iter().filter_map(|data_centre| shared.owner_in(data_centre, &key)).collect()
+}
+
+async fn borrow(shared: &VmShared, entry: &WorkspaceEntry, want: u32) -> bool {
+    for lender in lenders(shared, &entry.workspace) {
         if borrow_from(shared, entry, &lender, want).await {
             return true;
         }
@@ -162,6 +161,27 @@
     false
 }
 
+/// Draws from other data centres while the bucket's owner in the own one does not answer: until a lost
+/// owner is replaced, its tokens are out of reach. A lender counts such a grant like any other loan.
+async fn borrow_for_self(
+    shared: &VmShared,
+    entry: &WorkspaceEntry,
+    grant: GrantId,
+    want: u32,
+) -> GrantReply {
+    for lender in lenders(shared, &entry.workspace) {
+        let workspace = entry.workspace.clone();
+        let request = GrantRequest { workspace, grant, want, closed: Vec::new() };
+        let reply = shared.request(&lender, PeerRequest::Lend(request), LEND_TIMEOUT).await;
+        if let Ok(PeerReply::Grant(reply)) = reply
+            && reply.tokens > 0
+        {
+            return reply;
+        }
+    }
+    GrantReply::not_owner()
+}
+
 async fn borrow_from(shared: &VmShared, entry: &WorkspaceEntry, lender: &VmId, want: u32) -> bool {
     let sent_at = monotonic();
     let workspace = entry.workspace.clone();
--- a/crates/ebonydock_bench/src/mix/report.rs
+++ b/crates/ebonydock_bench/src/mix/report.rs
@@ -136,6 +136,10 @@
                 worst.refused,
             );
         }
+        let inside = || self.workspaces.iter().filter(|w| !w.offers_more_than_rate);
+        let refused: usize = inside().map(|workspace| workspace.rate_limited).sum();
+        let asked: usize = inside().map(|workspace| workspace.asked).sum();
+        println!("{:<22} refused inside the rate: {refused} of {asked}", "");
         for greedy in self.workspaces.iter().filter(|w| w.offers_more_than_rate) {
             println!(
                 "{:<22} over its rate `{}`: {} of {} answered",
