--- /dev/null
+++ b/crates/ebonydock/src/scheduling/load_index.rs
@@ -0,0 +1,72 @@
+//! The targets of a pool in order of their load, with the sums over the pool.
+//!
+//! Kept up to date with each change of a target, so that a decision costs the logarithm of the number of
+//! targets and not a walk over all of them.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use crate::ids::TargetId;
+use crate::scheduling::TargetState;
+
+/// A target is full from this load on, in thousandths.
+const FULL: u32 = 1000;
+
+/// What a target contributes.
+#[derive(Clone, Copy, Debug)]
+struct LoadEntry {
+    load: u32,
+    capacity: u32,
+    in_flight: u32,
+}
+
+impl LoadEntry {
+    fn of(state: &TargetState, now: Duration) -> Self {
+        Self {
+            load: state.load(now),
+            capacity: if state.leaving { 0 } else { state.nominal_capacity() },
+            in_flight: state.in_flight,
+        }
+    }
+}
+
+/// The targets of a pool in order of their load.
+#[derive(Debug, Default)]
+pub(crate) struct LoadIndex {
+    by_load: BTreeSet<(u32, TargetId)>,
+    entries: HashMap<TargetId, LoadEntry>,
+    capacity: u32,
+    in_flight: u32,
+}
+
+impl LoadIndex {
+    /// Takes the state of a target, or `None` if it is gone.
+    pub(crate) fn update(&mut self, now: Duration, target: &TargetId, state: Option<&TargetState>) {
+        if let Some(old) = self.entries.remove(target) {
+            self.by_load.remove(&(old.load, target.clone()));
+            self.capacity -= old.capacity;
+            self.in_flight -= old.in_flight;
+        }
+        let Some(state) = state else { return };
+        let entry = LoadEntry::of(state, now);
+        self.by_load.insert((entry.load, target.clone()));
+        self.capacity += entry.capacity;
+        self.in_flight += entry.in_flight;
+        self.entries.insert(target.clone(), entry);
+    }
+
+    /// Sequences that the pool bears.
+    pub(crate) fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
+    /// Sequences that run.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Targets that are not full, the least loaded first.
+    pub(crate) fn least_loaded(&self) -> impl Iterator<Item = &TargetId> {
+        self.by_load.iter().take_while(|(load, _)| *load < FULL).map(|(_, target)| target)
+    }
+}
--- a/crates/ebonydock/src/scheduling/mod.rs
+++ b/crates/ebonydock/src/scheduling/mod.rs
@@ -6,6 +6,7 @@
 
 mod fair_queue;
 mod held;
+mod load_index;
 pub mod messages;
 mod pools;
 mod prefix_index;
--- a/crates/ebonydock/src/scheduling/scheduler.rs
+++ b/crates/ebonydock/src/scheduling/scheduler.rs
@@ -5,6 +5,7 @@
 
 use crate::ids::{LeaseId, TargetId, VmId, WorkspaceId};
 use crate::platform::TargetEntry;
+use crate::scheduling::load_index::LoadIndex;
 use crate::scheduling::messages::{
     AcquireRefusal, AcquireRequest, HeldRecord, LeaseGrant, LeaseOutcome, ReleaseReport,
     RequestDemand, StartReport,
@@ -79,23 +80,12 @@
     witnessed_start: u64,
 }
 
-/// What a target contributes to the sums over the pool.
-#[derive(Clone, Copy, Debug)]
-struct LoadEntry {
-    load: u32,
-    capacity: u32,
-    in_flight: u32,
-}
-
 /// The scheduler of one pool.
 #[derive(Debug)]
 pub struct PoolScheduler {
     policy: PoolPolicy,
     targets: HashMap<TargetId, TargetState>,
-    by_load: BTreeSet<(u32, TargetId)>,
-    indexed: HashMap<TargetId, LoadEntry>,
-    capacity: u32,
-    in_flight: u32,
+    index: LoadIndex,
     largest_context: u32,
     online: FairQueue<Waiter>,
     batch: FairQueue<Waiter>,
@@ -120,10 +110,7 @@
         Self {
             policy,
             targets: HashMap::new(),
-            by_load: BTreeSet::new(),
-            indexed: HashMap::new(),
-            capacity: 0,
-            in_flight: 0,
+            index: LoadIndex::default(),
             largest_context: 0,
             online: FairQueue::default(),
             batch: FairQueue::default(),
@@ -190,7 +177,7 @@
 
     /// Sequences that could start now.
     pub fn free(&self) -> u32 {
-        if self.out { 0 } else { self.capacity.saturating_sub(self.in_flight) }
+        if self.out { 0 } else { self.index.capacity().saturating_sub(self.index.in_flight()) }
     }
 
     /// Whether the pool or a predecessor's leases are unknown to some extent.
@@ -388,13 +375,13 @@
         if self.batch.is_empty() || !self.online.is_empty() {
             return decisions;
         }
-        let capacity = self.capacity;
+        let capacity = self.index.capacity();
         let reserve = match self.policy.yielding {
             YieldPolicy::None => 0,
             YieldPolicy::StaticReserve => capacity.div_ceil(4),
             YieldPolicy::Revoke => self.reserve.reserve(now, capacity),
         };
-        let mut free = capacity.saturating_sub(self.in_flight);
+        let mut free = capacity.saturating_sub(self.index.in_flight());
         while free > reserve && self.dispatch_one(now, RequestClass::Batch, &mut decisions) {
             free -= 1;
         }
@@ -525,16 +512,16 @@
     }
 
     fn is_within_bound(&self, now: Duration, waiter: &Waiter, state: &TargetState) -> bool {
-        let mean = f64::from(self.in_flight) / f64::from(self.capacity.max(1));
+        let mean = f64::from(self.index.in_flight()) / f64::from(self.index.capacity().max(1));
         let own = f64::from(state.in_flight) / f64::from(state.capacity().max(1));
         let one = 1.0 / f64::from(state.capacity().max(1));
         self.admits(now, waiter, state) && own <= AFFINITY_BOUND * mean + one
     }
 
     fn least_loaded(&self, now: Duration, waiter: &Waiter) -> Option<TargetId> {
-        let candidates = self.by_load.iter().take_while(|(load, _)| *load < 1000).take(TARGET_SCAN);
+        let candidates = self.index.least_loaded().take(TARGET_SCAN);
         candidates
-            .filter_map(|(_, target)| self.targets.get(target))
+            .filter_map(|target| self.targets.get(target))
             .find(|state| self.admits(now, waiter, state))
             .map(|state| state.target.clone())
     }
@@ -622,22 +609,8 @@
         self.drop_leases(now, &lost);
     }
 
-    /// Updates the order of targets by load and the sums over the pool.
+    /// Takes a change of a target into the index.
     fn reindex(&mut self, now: Duration, target: &TargetId) {
-        if let Some(old) = self.indexed.remove(target) {
-            self.by_load.remove(&(old.load, target.clone()));
-            self.capacity -= old.capacity;
-            self.in_flight -= old.in_flight;
-        }
-        let Some(state) = self.targets.get(target) else { return };
-        let entry = LoadEntry {
-            load: state.load(now),
-            capacity: if state.leaving { 0 } else { state.nominal_capacity() },
-            in_flight: state.in_flight,
-        };
-        self.by_load.insert((entry.load, target.clone()));
-        self.capacity += entry.capacity;
-        self.in_flight += entry.in_flight;
-        self.indexed.insert(target.clone(), entry);
+        self.index.update(now, target, self.targets.get(target));
     }
 }
--- a/crates/ebonydock_bench/src/demo/mod.rs
+++ b/crates/ebonydock_bench/src/demo/mod.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use ebonydock_standins::{
-    CALLER_KEYS, SiteClient, SitePlan, StandInSite, StreamEnd, chat_body, expected_answer,
+    CALLER_KEYS, SiteClient, SitePlan, StandInSite, StreamEnd, chat_body, check_results,
+    expected_answer, job_items,
 };
 use getopts::Options;
 use ntex::http::Method;
@@ -76,13 +77,7 @@
 }
 
 async fn show_job(client: &SiteClient, address: SocketAddr) -> Result<(), String> {
-    let line = |index: usize| {
-        let body = serde_json::json!({
-            "model": MODEL, "prompt": format!("estimate {index}"), "max_tokens": 4,
-        });
-        format!("{}\n", serde_json::json!({ "custom_id": format!("item-{index}"), "body": body }))
-    };
-    let items: String = (0..ITEMS).map(line).collect();
+    let items = job_items(MODEL, "estimate", ITEMS, 4);
     let key = format!("{CALLER_KEYS}association");
     let base = format!("http://{address}/v1/batches");
     let url = format!("{base}?name=demo&due_in_s=600");
@@ -103,15 +98,7 @@
     let took = began.elapsed();
     let url = format!("{base}/demo/results");
     let (_, results) = client.call(Method::GET, url, Some(&key), &[], "").await;
-    let mut names = std::collections::BTreeSet::new();
-    for line in results.lines() {
-        let result: Value = serde_json::from_str(line).map_err(|error| error.to_string())?;
-        let name = result["custom_id"].as_str().unwrap_or_default().to_owned();
-        let prompt = name.replace("item-", "estimate ");
-        expect(result["text"] == expected_answer(&prompt, 4), "a result is not the engine's")?;
-        expect(names.insert(name), "an item is there twice")?;
-    }
-    expect(names.len() == ITEMS, "an item is missing")?;
+    check_results(&results, "estimate", ITEMS, 4).map_err(|error| format!("failed: {error}"))?;
     println!("job: {ITEMS} items completed and read after {took:.1?}");
     Ok(())
 }
--- a/crates/ebonydock_bench/src/faults/callers.rs
+++ b/crates/ebonydock_bench/src/faults/callers.rs
@@ -15,6 +15,9 @@
 use crate::faults::{FaultRun, MODEL};
 
 const TOKENS: u32 = 24;
+/// Some answers take longer than a stopping VM waits to be noticed.
+const LONG_TOKENS: u32 = 400;
+const LONG_CALLERS: usize = 2;
 const PAUSE: Duration = Duration::from_millis(30);
 const NOTICE_TRIES: usize = 6;
 const RESEND_PAUSE: Duration = Duration::from_millis(300);
@@ -64,24 +67,31 @@
 pub(crate) async fn ask(run: &Rc<FaultRun>, caller: usize) {
     let mut random = run.random(caller as u64);
     let began = Instant::now();
+    let tokens = if caller < LONG_CALLERS { LONG_TOKENS } else { TOKENS };
     let mut number = 0;
     while began.elapsed() < run.length {
         number += 1;
         let address = run.pick(&mut random).await;
         let question = format!("question {caller}-{number}");
         let answer =
-            run.client.stream_question(address, &key("zlatnik"), MODEL, &question, TOKENS).await;
-        book_answer(run, address, &question, &answer);
+            run.client.stream_question(address, &key("zlatnik"), MODEL, &question, tokens).await;
+        book_answer(run, address, &question, tokens, &answer);
         ntex::time::sleep(PAUSE).await;
     }
 }
 
-fn book_answer(run: &FaultRun, address: SocketAddr, question: &str, answer: &StreamedAnswer) {
+fn book_answer(
+    run: &FaultRun,
+    address: SocketAddr,
+    question: &str,
+    tokens: u32,
+    answer: &StreamedAnswer,
+) {
     let prompt = format!("<|user|>\n{question}\n");
     let seen = run.was_seen(&prompt);
     let mut books = run.books.borrow_mut();
     match &answer.end {
-        StreamEnd::Done if answer.text == expected_answer(&prompt, TOKENS) => {
+        StreamEnd::Done if answer.text == expected_answer(&prompt, tokens) => {
             books.counts.answers += 1;
         }
         StreamEnd::Done => books.breach(format!("`{question}` got another answer")),
--- a/crates/ebonydock_bench/src/faults/injector.rs
+++ b/crates/ebonydock_bench/src/faults/injector.rs
@@ -20,6 +20,7 @@
 enum FaultKind {
     VmLost,
     VmReplaced,
+    AllReplaced,
     DataCentreLost,
     EngineRestarts,
     PlatformDown,
@@ -29,9 +30,10 @@
     ServiceSlow,
 }
 
-const KINDS: [FaultKind; 9] = [
+const KINDS: [FaultKind; 10] = [
     FaultKind::VmLost,
     FaultKind::VmReplaced,
+    FaultKind::AllReplaced,
     FaultKind::DataCentreLost,
     FaultKind::EngineRestarts,
     FaultKind::PlatformDown,
@@ -86,6 +88,12 @@
         FaultKind::VmLost => lose(run, |vm, vms| vm == pick % vms).await,
         FaultKind::DataCentreLost => lose(run, |vm, vms| vm / (vms / 2) == pick % 2).await,
         FaultKind::VmReplaced => replace(run, pick).await,
+        FaultKind::AllReplaced => {
+            let vms = run.site.borrow().vms.len();
+            for vm in 0..vms {
+                replace(run, vm).await;
+            }
+        }
         FaultKind::EngineRestarts => {
             let site = run.site.borrow();
             if let Some(engine) = &site.engines[pick % site.engines.len()].engine {
--- a/crates/ebonydock_bench/src/faults/jobs.rs
+++ b/crates/ebonydock_bench/src/faults/jobs.rs
@@ -1,10 +1,9 @@
 //! Jobs of a run, and what became of them.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use ebonydock_standins::{CALLER_KEYS, expected_answer};
+use ebonydock_standins::{CALLER_KEYS, check_results, job_items};
 use ntex::http::Method;
 use serde_json::Value;
 
@@ -21,13 +20,8 @@
     format!("{CALLER_KEYS}association")
 }
 
-fn body(job: &str) -> String {
-    let line = |index: usize| {
-        let prompt = format!("{job} estimate {index}");
-        let body = serde_json::json!({ "model": MODEL, "prompt": prompt, "max_tokens": TOKENS });
-        format!("{}\n", serde_json::json!({ "custom_id": format!("{index}"), "body": body }))
-    };
-    (0..ITEMS).map(line).collect()
+fn prompt(job: &str) -> String {
+    format!("{job} estimate")
 }
 
 /// Submits a job every few seconds; each is sent again until it is accepted.
@@ -41,8 +35,8 @@
         while began.elapsed() < run.length {
             let address = run.pick(&mut random).await;
             let url = format!("http://{address}/v1/batches?name={job}&due_in_s=600");
-            let (status, text) =
-                run.client.call(Method::POST, url, Some(&key()), &[], body(&job)).await;
+            let items = job_items(MODEL, &prompt(&job), ITEMS, TOKENS);
+            let (status, text) = run.client.call(Method::POST, url, Some(&key()), &[], items).await;
             if status == 200 {
                 let mut books = run.books.borrow_mut();
                 books.counts.jobs += 1;
@@ -81,7 +75,7 @@
         if report["status"] == "completed" {
             let url = format!("{url}/results");
             let (_, text) = run.client.call(Method::GET, url, Some(&key()), &[], "").await;
-            return check_items(job, &text);
+            return check_results(&text, &prompt(job), ITEMS, TOKENS);
         }
         if Instant::now() > deadline {
             return Err(format!("did not end: {text}"));
@@ -89,19 +83,3 @@
         ntex::time::sleep(RESEND_PAUSE).await;
     }
 }
-
-fn check_items(job: &str, results: &str) -> Result<(), String> {
-    let mut names = BTreeSet::new();
-    for line in results.lines() {
-        let result: Value = serde_json::from_str(line).map_err(|error| error.to_string())?;
-        let name = result["custom_id"].as_str().unwrap_or_default().to_owned();
-        let expected = expected_answer(&format!("{job} estimate {name}"), TOKENS);
-        if result["text"] != expected {
-            return Err(format!("item `{name}` is wrong: {line}"));
-        }
-        if !names.insert(name) {
-            return Err(format!("an item is there twice: {line}"));
-        }
-    }
-    if names.len() == ITEMS { Ok(()) } else { Err(format!("{} items of {ITEMS}", names.len())) }
-}
--- a/crates/ebonydock_bench/src/mix/load.rs
+++ b/crates/ebonydock_bench/src/mix/load.rs
@@ -6,6 +6,7 @@
 
 use ebonydock_standins::{
     CALLER_KEYS, SiteClient, StandInSite, StreamEnd, StreamedAnswer, chat_body, expected_answer,
+    job_items,
 };
 use futures_util::future::join_all;
 use ntex::http::Method;
@@ -89,18 +90,12 @@
 ) -> Result<(), String> {
     let addresses = addresses(site);
     for (index, job) in scenario.jobs.iter().enumerate() {
-        let line = |item: u64| {
-            let body = serde_json::json!({
-                "model": scenario.model, "prompt": format!("estimate {item}"),
-                "max_tokens": job.tokens,
-            });
-            format!("{}\n", serde_json::json!({ "custom_id": format!("{item}"), "body": body }))
-        };
         // A job runs in the data centre that accepted it, so each data centre gets a part.
-        let homes = scenario.data_centres.len() as u64;
+        let homes = scenario.data_centres.len();
+        let count = job.items as usize / homes;
         let mut first_vm = 0;
         for (part, data_centre) in scenario.data_centres.iter().enumerate() {
-            let items: String = (0..job.items / homes).map(line).collect();
+            let items = job_items(&scenario.model, "estimate", count, job.tokens as u32);
             let name = format!("job-{index}-{part}");
             let address = addresses[first_vm];
             first_vm += data_centre.vms;
--- a/crates/ebonydock_standins/src/lib.rs
+++ b/crates/ebonydock_standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! that fails on command. Used by tests, the demo and the experiments.
 
 mod answers;
+mod batches;
 mod certificates;
 mod engine;
 mod platform;
@@ -11,6 +12,7 @@
 mod site;
 
 pub use answers::{StreamEnd, StreamedAnswer};
+pub use batches::{check_results, job_items};
 pub use certificates::{PeerCertificates, make_certificates};
 pub use engine::{EngineCounters, EngineShape, EngineStandIn, expected_answer};
 pub use platform::{PlatformCounters, PlatformFault, PlatformStandIn};
--- a/crates/ebonydockd/tests/site/support.rs
+++ b/crates/ebonydockd/tests/site/support.rs
@@ -13,8 +13,8 @@
 };
 use ebonydock_standins::{
     CALLER_KEYS, EngineShape, EngineStandIn, FaultProxy, PeerCertificates, PlatformStandIn,
-    ServiceStandIn, SiteClient, VmPlan, engine_entry, make_certificates, notice_entry,
-    settings_text,
+    ServiceStandIn, SiteClient, VmPlan, check_results, engine_entry, job_items, make_certificates,
+    notice_entry, settings_text,
 };
 use ntex::http::{Method, StatusCode};
 use serde_json::Value;
@@ -90,13 +90,7 @@
 }
 
 pub fn items(count: usize, tokens: u32) -> String {
-    let line = |index: usize| {
-        let body = serde_json::json!({
-            "model": MODEL, "prompt": format!("estimate {index}"), "max_tokens": tokens,
-        });
-        format!("{}\n", serde_json::json!({ "custom_id": format!("item-{index}"), "body": body }))
-    };
-    (0..count).map(line).collect()
+    job_items(MODEL, "estimate", count, tokens)
 }
 
 impl Site {
@@ -311,16 +305,7 @@
         .await;
         let (status, text) = self.get(vm, &format!("{path}/results"), "association").await;
         assert_eq!(status, 200, "{text}");
-        let mut names = std::collections::BTreeSet::new();
-        for line in text.lines() {
-            let item: Value = serde_json::from_str(line).unwrap();
-            let name = item["custom_id"].as_str().unwrap().to_owned();
-            let prompt = name.replace("item-", "estimate ");
-            let expected = ebonydock_standins::expected_answer(&prompt, tokens);
-            assert_eq!(item["text"], Value::String(expected), "{line}");
-            assert!(names.insert(name), "an item is there twice: {line}");
-        }
-        assert_eq!(names.len(), count, "an item is missing");
+        assert_eq!(check_results(&text, "estimate", count, tokens), Ok(()));
     }
 
     /// Waits until a condition holds.
