--- a/crates/ebonydock_bench/src/faults/books.rs
+++ b/crates/ebonydock_bench/src/faults/books.rs
@@ -61,6 +61,7 @@
     pub(crate) accepted_version: u64,
     /// The counts.
     pub(crate) counts: RunCounts,
+    replacements: u64,
     began: Instant,
     breaches: Vec<String>,
     trace: Vec<String>,
@@ -77,6 +78,7 @@
             versions: BTreeMap::new(),
             accepted_version: 0,
             counts: RunCounts::default(),
+            replacements: 0,
             began: Instant::now(),
             breaches: Vec::new(),
             trace: Vec::new(),
@@ -91,6 +93,12 @@
         Some(self.serving[random.random_range(0..self.serving.len())].1)
     }
 
+    /// A name that no VM has had.
+    pub(crate) fn next_vm_name(&mut self) -> String {
+        self.replacements += 1;
+        format!("replacement-{}", self.replacements)
+    }
+
     /// Takes a notice whose sender is done with it.
     pub(crate) fn add_notice(&mut self, notice: NoticeRecord) {
         self.counts.notices_acknowledged += u64::from(notice.acknowledged);
--- a/crates/ebonydock_bench/src/faults/injector.rs
+++ b/crates/ebonydock_bench/src/faults/injector.rs
@@ -171,7 +171,10 @@
     }
 }
 
+/// Starts another VM in the place of one that is gone, under a name of its own.
 async fn start(run: &Rc<FaultRun>, vm: usize) {
+    let name = run.books.borrow_mut().next_vm_name();
+    run.site.borrow_mut().vms[vm].name = name;
     let started = run.site.borrow_mut().start_vm(vm);
     let address = run.site.borrow().callers(vm);
     let (Ok(()), Some(address)) = (started, address) else {
--- a/crates/ebonydock_bench/src/mix/mod.rs
+++ b/crates/ebonydock_bench/src/mix/mod.rs
@@ -94,10 +94,12 @@
             load::submit_jobs(&client, &site, scenario).await?;
         }
         let before = load::tokens(&site);
+        let began = std::time::Instant::now();
         let requests = load::offer(scenario, seed, &site);
         let faults = apply_faults(scenario, &mut site);
         let (samples, ()) = futures_util::future::join(requests, faults).await;
-        Ok::<_, String>(PolicyReport::of(case.name, scenario, &samples, &site, before))
+        let took = began.elapsed();
+        Ok::<_, String>(PolicyReport::of(case.name, scenario, &samples, &site, before, took))
     });
     let _ = std::fs::remove_dir_all(&folder);
     report
--- a/crates/ebonydock_bench/src/mix/report.rs
+++ b/crates/ebonydock_bench/src/mix/report.rs
@@ -59,13 +59,15 @@
 }
 
 impl PolicyReport {
-    /// Sums a run up. `tokens_before` were generated before the load began.
+    /// Sums a run up. `tokens_before` were generated before the load began; `took` is the time from then
+    /// to the last answer, in which batch went on.
     pub(crate) fn of(
         name: &str,
         scenario: &MixScenario,
         samples: &[Sample],
         site: &StandInSite,
         tokens_before: u64,
+        took: Duration,
     ) -> Self {
         let whole: Vec<&Sample> =
             samples.iter().filter(|sample| sample.outcome == SampleOutcome::Whole).collect();
@@ -75,7 +77,7 @@
         let inside: Vec<&Sample> = whole.iter().copied().filter(|sample| !over(sample)).collect();
         let second = inside.iter().filter(|s| s.first <= Duration::from_secs(1)).count();
         let online_tokens = whole.len() as f64 * f64::from(scenario.answer_tokens);
-        let seconds = scenario.length.as_secs_f64();
+        let seconds = took.as_secs_f64();
         let batch = (tokens(site) - tokens_before) as f64 - online_tokens;
         let full = capacity_tokens(scenario) * seconds;
         let engines = || site.engines.iter().filter_map(|engine| engine.engine.as_ref());
--- a/crates/ebonydock_bench/src/slopes/capacity.rs
+++ b/crates/ebonydock_bench/src/slopes/capacity.rs
@@ -123,7 +123,8 @@
             });
             if !close {
                 let (name, value) = (slope.name, slope.value);
-                findings.push(format!("`{name}`: the page says {written:?}, this run {value:.1}"));
+                let written = written.map_or("nothing".to_owned(), |written| written.to_string());
+                findings.push(format!("`{name}`: the page says {written}, this run {value:.1}"));
             }
         }
         if findings.is_empty() {
--- a/crates/ebonydock_bench/src/slopes/measure.rs
+++ b/crates/ebonydock_bench/src/slopes/measure.rs
@@ -20,6 +20,7 @@
 use serde::Serialize;
 
 const ROUNDS: u32 = 20_000;
+const CHANGES: u32 = 2000;
 const MODEL: &str = "clerk-8b";
 const IDLE_TIME: Duration = Duration::from_secs(4);
 const WORKSPACES: usize = 47_000;
@@ -306,8 +307,8 @@
     let state = state_bytes(|| {
         let _ = document.apply(&batch);
     });
-    let changes: Vec<VersionedBatch> = (0..40).map(change).collect();
-    let apply = nanoseconds(40, |round| {
+    let changes: Vec<VersionedBatch> = (0..CHANGES as usize).map(change).collect();
+    let apply = nanoseconds(CHANGES, |round| {
         let _ = black_box(document.apply(&changes[round as usize]));
     });
     (state / WORKSPACES as f64, apply)
