Bench and stand-ins: what every experiment with a site does stands once

Cause: each experiment opened its site, client and runtime, built keys and prompts and parsed numbers on its own, so a change of one had to be made in five places. Change: `bench_site` holds `with_site`, `configure` and `number`; `caller_key` and `chat_prompt` are functions of the stand-ins. No test or check changed in what it asks.

--- /dev/null
+++ b/crates/ebonydock_bench/src/bench_site.rs
@@ -0,0 +1,35 @@
+//! What every experiment with a site in this process does.
+
+use std::str::FromStr;
+
+use ebonydock_standins::{SiteClient, SitePlan, StandInSite};
+use getopts::Matches;
+
+/// Runs `run` with a site and a caller of it, in a runtime; the site's files are removed in the end.
+pub(crate) fn with_site<T, F>(
+    command: &str,
+    plan: &SitePlan,
+    run: impl FnOnce(StandInSite, SiteClient) -> F + 'static,
+) -> Result<T, String>
+where
+    T: 'static,
+    F: Future<Output = Result<T, String>> + 'static,
+{
+    let folder = std::env::temp_dir().join(format!("ebonydock-{command}-{}", std::process::id()));
+    let site = StandInSite::open(plan, &folder).map_err(|error| error.to_string())?;
+    let system = ntex::rt::System::new(command, ntex::rt::DefaultRuntime);
+    let result = system.block_on(async move { run(site, SiteClient::open().await).await });
+    let _ = std::fs::remove_dir_all(&folder);
+    result
+}
+
+/// Gives a site its first configuration.
+pub(crate) async fn configure(site: &StandInSite, client: &SiteClient) -> Result<(), String> {
+    site.configure(client).await.map_err(|error| error.to_string())
+}
+
+/// The number that follows an option, or `default`.
+pub(crate) fn number<T: FromStr>(matches: &Matches, option: &str, default: T) -> Result<T, String> {
+    let Some(text) = matches.opt_str(option) else { return Ok(default) };
+    text.parse().map_err(|_| format!("`--{option} {text}` must be a whole number"))
+}
--- a/crates/ebonydock_bench/src/demo/mod.rs
+++ b/crates/ebonydock_bench/src/demo/mod.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use ebonydock_standins::{
-    CALLER_KEYS, SiteClient, SitePlan, StandInSite, StreamEnd, chat_body, check_results,
-    expected_answer, job_items,
+    SiteClient, SitePlan, StandInSite, StreamEnd, caller_key, chat_body, chat_prompt,
+    check_results, expected_answer, job_items,
 };
 use getopts::Options;
 use ntex::http::Method;
 use serde_json::Value;
 
+use crate::bench_site::{configure, with_site};
+
 const MODEL: &str = "clerk-8b";
 const ITEMS: usize = 200;
 const TOKENS: u32 = 24;
@@ -20,29 +22,23 @@
     let mut options = Options::new();
     options.optflag("", "keep", "leave the site serving");
     let matches = options.parse(arguments).map_err(|error| error.to_string())?;
-    let folder = std::env::temp_dir().join(format!("ebonydock-demo-{}", std::process::id()));
-    let site = StandInSite::open(&SitePlan::default(), &folder).map_err(|e| e.to_string())?;
-    let system = ntex::rt::System::new("demo", ntex::rt::DefaultRuntime);
-    let result = system.block_on(async move {
-        let result = show(&site).await;
-        if result.is_ok() && matches.opt_present("keep") {
+    let keep_serving = matches.opt_present("keep");
+    with_site("demo", &SitePlan::default(), move |site, client| async move {
+        show(&site, &client).await?;
+        if keep_serving {
             keep(&site).await;
         }
-        drop(site);
-        result
-    });
-    let _ = std::fs::remove_dir_all(&folder);
-    result
+        Ok(())
+    })
 }
 
-async fn show(site: &StandInSite) -> Result<(), String> {
-    let client = SiteClient::open().await;
-    site.configure(&client).await.map_err(|error| error.to_string())?;
+async fn show(site: &StandInSite, client: &SiteClient) -> Result<(), String> {
+    configure(site, client).await?;
     let address = site.callers(0).ok_or("no VM runs")?;
     println!("site: 2 data centres, 4 VMs, 4 engines, 2 notice servers");
-    show_answer(&client, address).await?;
-    show_job(&client, address).await?;
-    show_notice(&client, site, address).await?;
+    show_answer(client, address).await?;
+    show_job(client, address).await?;
+    show_notice(client, site, address).await?;
     let leaked: u64 = site.services.iter().map(|(_, service)| service.leaked_keys()).sum();
     let engines = site.engines.iter().filter_map(|engine| engine.engine.as_ref());
     let leaked = leaked + engines.map(|engine| engine.counters().leaked_keys).sum::<u64>();
@@ -58,7 +54,7 @@
 async fn show_answer(client: &SiteClient, address: SocketAddr) -> Result<(), String> {
     let question = "When is the wedding band ready?";
     let body = chat_body(MODEL, question, TOKENS, true);
-    let key = format!("{CALLER_KEYS}zlatnik");
+    let key = caller_key("zlatnik");
     let began = std::time::Instant::now();
     let mut first = None;
     let answer = client.stream_chat(address, &key, body, || {
@@ -66,7 +62,7 @@
     });
     let answer = answer.await;
     expect(answer.end == StreamEnd::Done, &format!("the answer is incomplete: {:?}", answer.end))?;
-    let prompt = format!("<|user|>\n{question}\n");
+    let prompt = chat_prompt(question);
     expect(answer.text == expected_answer(&prompt, TOKENS), "the answer is not the engine's")?;
     let first = first.unwrap_or_default();
     println!(
@@ -78,7 +74,7 @@
 
 async fn show_job(client: &SiteClient, address: SocketAddr) -> Result<(), String> {
     let items = job_items(MODEL, "estimate", ITEMS, 4);
-    let key = format!("{CALLER_KEYS}association");
+    let key = caller_key("association");
     let base = format!("http://{address}/v1/batches");
     let url = format!("{base}?name=demo&due_in_s=600");
     let began = std::time::Instant::now();
@@ -108,7 +104,7 @@
     site: &StandInSite,
     address: SocketAddr,
 ) -> Result<(), String> {
-    let key = format!("{CALLER_KEYS}zlatnik");
+    let key = caller_key("zlatnik");
     let headers = [("idempotency-key", "pickup-4711"), ("content-type", "text/plain")];
     for _ in 0..2 {
         let url = format!("http://{address}/services/notices/send/pickup");
@@ -125,7 +121,7 @@
 
 async fn keep(site: &StandInSite) {
     let Some(address) = site.callers(0) else { return };
-    let key = format!("{CALLER_KEYS}zlatnik");
+    let key = caller_key("zlatnik");
     println!("\nserving at {address}, key {key}; end with Ctrl-C. Try:");
     println!(
         "curl -N http://{address}/v1/chat/completions -H 'authorization: Bearer {key}' \
--- a/crates/ebonydock_bench/src/faults/callers.rs
+++ b/crates/ebonydock_bench/src/faults/callers.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ebonydock::{Change, ConfigVersion, EditBody, PlanName, WorkspaceEntry, WorkspaceId};
-use ebonydock_standins::{CALLER_KEYS, StreamEnd, StreamedAnswer, expected_answer};
+use ebonydock_standins::{StreamEnd, StreamedAnswer, caller_key, chat_prompt, expected_answer};
 use ntex::http::Method;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -25,10 +25,6 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(100);
 const VERSION_LIMIT: Duration = Duration::from_secs(20);
 
-fn key(workspace: &str) -> String {
-    format!("{CALLER_KEYS}{workspace}")
-}
-
 impl FaultRun {
     pub(crate) fn random(&self, part: u64) -> SmallRng {
         SmallRng::seed_from_u64(self.seed.wrapping_mul(1_000_003) + part)
@@ -51,12 +47,15 @@
         engines.any(|engine| engine.has_seen(prompt))
     }
 
+    /// Where the VM that serves callers at an address serves operators.
+    fn operators_of(&self, callers: SocketAddr) -> Option<SocketAddr> {
+        let site = self.site.borrow();
+        let index = (0..site.vms.len()).find(|index| site.callers(*index) == Some(callers))?;
+        site.operators(index)
+    }
+
     async fn version_at(&self, callers: SocketAddr) -> Option<u64> {
-        let operators = {
-            let site = self.site.borrow();
-            let index = (0..site.vms.len()).find(|index| site.callers(*index) == Some(callers))?;
-            site.operators(index)?
-        };
+        let operators = self.operators_of(callers)?;
         let (status, text) = self.client.operate(operators, "/operator/v1/status", None).await;
         let status = status.is_success().then(|| serde_json::from_str::<Value>(&text).ok())??;
         status["config_version"].as_u64()
@@ -73,8 +72,10 @@
         number += 1;
         let address = run.pick(&mut random).await;
         let question = format!("question {caller}-{number}");
-        let answer =
-            run.client.stream_question(address, &key("zlatnik"), MODEL, &question, tokens).await;
+        let answer = run
+            .client
+            .stream_question(address, &caller_key("zlatnik"), MODEL, &question, tokens)
+            .await;
         book_answer(run, address, &question, tokens, &answer);
         ntex::time::sleep(PAUSE).await;
     }
@@ -87,7 +88,7 @@
     tokens: u32,
     answer: &StreamedAnswer,
 ) {
-    let prompt = format!("<|user|>\n{question}\n");
+    let prompt = chat_prompt(question);
     let seen = run.was_seen(&prompt);
     let mut books = run.books.borrow_mut();
     match &answer.end {
@@ -147,7 +148,7 @@
         headers.push(("idempotency-key", name.as_str()));
     }
     let url = format!("http://{address}/services/notices/send/pickup");
-    let key = key("zlatnik");
+    let key = caller_key("zlatnik");
     let body = record.body.clone();
     let (status, text) = run.client.call(Method::POST, url, Some(&key), &headers, body).await;
     let reply: Value = serde_json::from_str(&text).unwrap_or_default();
@@ -188,11 +189,7 @@
 }
 
 async fn edit_at(run: &FaultRun, callers: SocketAddr, base: u64, weight: f64) -> Option<u64> {
-    let operators = {
-        let site = run.site.borrow();
-        let index = (0..site.vms.len()).find(|index| site.callers(*index) == Some(callers))?;
-        site.operators(index)?
-    };
+    let operators = run.operators_of(callers)?;
     let entry = WorkspaceEntry {
         workspace: WorkspaceId::from("association"),
         plan: PlanName::from("standard"),
--- a/crates/ebonydock_bench/src/faults/jobs.rs
+++ b/crates/ebonydock_bench/src/faults/jobs.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use ebonydock_standins::{CALLER_KEYS, check_results, job_items};
+use ebonydock_standins::{caller_key, check_results, job_items};
 use ntex::http::Method;
 use serde_json::Value;
 
@@ -16,10 +16,6 @@
 /// Jobs end within this time after the last fault.
 const END_LIMIT: Duration = Duration::from_secs(90);
 
-fn key() -> String {
-    format!("{CALLER_KEYS}association")
-}
-
 fn prompt(job: &str) -> String {
     format!("{job} estimate")
 }
@@ -36,7 +32,10 @@
             let address = run.pick(&mut random).await;
             let url = format!("http://{address}/v1/batches?name={job}&due_in_s=600");
             let items = job_items(MODEL, &prompt(&job), ITEMS, TOKENS);
-            let (status, text) = run.client.call(Method::POST, url, Some(&key()), &[], items).await;
+            let (status, text) = run
+                .client
+                .call(Method::POST, url, Some(&caller_key("association")), &[], items)
+                .await;
             if status == 200 {
                 let mut books = run.books.borrow_mut();
                 books.counts.jobs += 1;
@@ -70,11 +69,15 @@
     loop {
         let address = run.pick(&mut random).await;
         let url = format!("http://{address}/v1/batches/{job}");
-        let (_, text) = run.client.call(Method::GET, url.clone(), Some(&key()), &[], "").await;
+        let (_, text) = run
+            .client
+            .call(Method::GET, url.clone(), Some(&caller_key("association")), &[], "")
+            .await;
         let report: Value = serde_json::from_str(&text).unwrap_or_default();
         if report["status"] == "completed" {
             let url = format!("{url}/results");
-            let (_, text) = run.client.call(Method::GET, url, Some(&key()), &[], "").await;
+            let (_, text) =
+                run.client.call(Method::GET, url, Some(&caller_key("association")), &[], "").await;
             return check_results(&text, &prompt(job), ITEMS, TOKENS);
         }
         if Instant::now() > deadline {
--- a/crates/ebonydock_bench/src/faults/mod.rs
+++ b/crates/ebonydock_bench/src/faults/mod.rs
@@ -15,6 +15,7 @@
 use futures_util::future::join_all;
 use getopts::Options;
 
+use crate::bench_site::{configure, number, with_site};
 use crate::faults::books::RunBooks;
 use crate::faults::injector::FaultInjector;
 
@@ -55,23 +56,18 @@
     options.optopt("", "seed", "the seed of faults and load", "N");
     options.optopt("", "seconds", "how long faults go on", "S");
     let matches = options.parse(arguments).map_err(|error| error.to_string())?;
-    let number = |name: &str, default: u64| {
-        let parsed = matches.opt_str(name).map_or(Ok(default), |text| text.parse());
-        parsed.map_err(|_| format!("`--{name}` must be a whole number"))
-    };
-    let seed = number("seed", 1)?;
-    let length = Duration::from_secs(number("seconds", DEFAULT_SECONDS)?);
-    let folder = std::env::temp_dir().join(format!("ebonydock-faults-{}", std::process::id()));
-    let site = StandInSite::open(&plan(), &folder).map_err(|error| error.to_string())?;
-    let system = ntex::rt::System::new("faults", ntex::rt::DefaultRuntime);
-    let result = system.block_on(run_site(site, seed, length));
-    let _ = std::fs::remove_dir_all(&folder);
-    result
+    let seed = number(&matches, "seed", 1)?;
+    let length = Duration::from_secs(number(&matches, "seconds", DEFAULT_SECONDS)?);
+    with_site("faults", &plan(), move |site, client| run_site(site, client, seed, length))
 }
 
-async fn run_site(site: StandInSite, seed: u64, length: Duration) -> Result<(), String> {
-    let client = SiteClient::open().await;
-    site.configure(&client).await.map_err(|error| error.to_string())?;
+async fn run_site(
+    site: StandInSite,
+    client: SiteClient,
+    seed: u64,
+    length: Duration,
+) -> Result<(), String> {
+    configure(&site, &client).await?;
     let mut books = RunBooks::open();
     for index in 0..site.vms.len() {
         books.serving.extend(site.callers(index).map(|callers| (index, callers)));
--- a/crates/ebonydock_bench/src/main.rs
+++ b/crates/ebonydock_bench/src/main.rs
@@ -1,5 +1,6 @@
 //! `ebonydock_bench`: the demo, the load tool and the experiments.
 
+mod bench_site;
 mod demo;
 mod faults;
 mod mix;
--- a/crates/ebonydock_bench/src/mix/load.rs
+++ b/crates/ebonydock_bench/src/mix/load.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use ebonydock_standins::{
-    CALLER_KEYS, SiteClient, StandInSite, StreamEnd, StreamedAnswer, chat_body, expected_answer,
-    job_items,
+    SiteClient, StandInSite, StreamEnd, StreamedAnswer, caller_key, chat_body, chat_prompt,
+    expected_answer, job_items,
 };
 use futures_util::future::join_all;
 use ntex::http::Method;
@@ -67,7 +67,7 @@
     scenario: &MixScenario,
 ) -> Result<(), String> {
     let name = &scenario.workspaces.first().ok_or("the scenario has no workspace")?.name;
-    let key = format!("{CALLER_KEYS}{name}");
+    let key = caller_key(name);
     let deadline = Instant::now() + SETTLE_LIMIT;
     for address in addresses(site) {
         while client.chat(address, &key, &scenario.model, "ready?", 1).await.0 != 200 {
@@ -100,7 +100,7 @@
             let address = addresses[first_vm];
             first_vm += data_centre.vms;
             let url = format!("http://{address}/v1/batches?name={name}&due_in_s={}", job.due_in_s);
-            let key = format!("{CALLER_KEYS}{}", job.workspace);
+            let key = caller_key(&job.workspace);
             let (status, text) = client.call(Method::POST, url, Some(&key), &[], items).await;
             if status != 200 {
                 return Err(format!("the job was refused: {text}"));
@@ -177,7 +177,7 @@
     content: &str,
 ) -> Sample {
     let began = Instant::now();
-    let key = format!("{CALLER_KEYS}{}", scenario.workspaces[workspace].name);
+    let key = caller_key(&scenario.workspaces[workspace].name);
     let body = chat_body(&scenario.model, content, scenario.answer_tokens, true);
     let mut first = None;
     let answer = client.stream_chat(address, &key, body, || {
@@ -185,7 +185,7 @@
     });
     let answer = tokio::time::timeout(ANSWER_LIMIT, answer).await;
     let first = first.unwrap_or_default();
-    let prompt = format!("<|user|>\n{content}\n");
+    let prompt = chat_prompt(content);
     let expected = expected_answer(&prompt, scenario.answer_tokens);
     let outcome = match answer {
         Ok(answer) => outcome_of(&answer, &expected),
--- a/crates/ebonydock_bench/src/mix/mod.rs
+++ b/crates/ebonydock_bench/src/mix/mod.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use ebonydock::{AffinityPolicy as Affinity, PoolPolicy, YieldPolicy as Yield};
-use ebonydock_standins::{SiteClient, StandInSite};
+use ebonydock_standins::StandInSite;
 use getopts::Options;
 
+use crate::bench_site::{configure, number, with_site};
 use crate::mix::report::PolicyReport;
 use crate::mix::scenario::{MixFault, MixScenario};
 
@@ -63,8 +64,7 @@
     let text = std::fs::read_to_string(&file).map_err(|e| format!("cannot read `{file}`: {e}"))?;
     let scenario = MixScenario::parse(&file, &text)
         .map_err(|findings| format!("{:?}", miette::Report::new(findings)))?;
-    let seed = matches.opt_str("seed").map_or(Ok(1), |text| text.parse());
-    let seed: u64 = seed.map_err(|_| "`--seed` must be a whole number".to_owned())?;
+    let seed = number(&matches, "seed", 1)?;
     let cases = chosen_cases(matches.opt_str("only").as_deref())?;
     let mut reports = Vec::new();
     for case in cases {
@@ -80,15 +80,11 @@
 }
 
 fn run_case(scenario: &MixScenario, case: &MixCase, seed: u64) -> Result<PolicyReport, String> {
-    let folder = std::env::temp_dir().join(format!("ebonydock-mix-{}", std::process::id()));
     let plan = scenario.site(case.policy);
-    let mut site = StandInSite::open(&plan, &folder).map_err(|error| error.to_string())?;
-    let system = ntex::rt::System::new("mix", ntex::rt::DefaultRuntime);
     let (scenario, case) = (scenario.clone(), case.clone());
-    let report = system.block_on(async move {
+    with_site("mix", &plan, move |mut site, client| async move {
         let scenario = &scenario;
-        let client = SiteClient::open().await;
-        site.configure(&client).await.map_err(|error| error.to_string())?;
+        configure(&site, &client).await?;
         load::settle(&client, &site, scenario).await?;
         if case.batch {
             load::submit_jobs(&client, &site, scenario).await?;
@@ -99,10 +95,8 @@
         let faults = apply_faults(scenario, &mut site);
         let (samples, ()) = futures_util::future::join(requests, faults).await;
         let took = began.elapsed();
-        Ok::<_, String>(PolicyReport::of(case.name, scenario, &samples, &site, before, took))
-    });
-    let _ = std::fs::remove_dir_all(&folder);
-    report
+        Ok(PolicyReport::of(case.name, scenario, &samples, &site, before, took))
+    })
 }
 
 async fn apply_faults(scenario: &MixScenario, site: &mut StandInSite) {
--- a/crates/ebonydock_bench/src/mix/report.rs
+++ b/crates/ebonydock_bench/src/mix/report.rs
@@ -123,8 +123,8 @@
             self.wrong,
             self.topples,
         );
-        let worst = self.workspaces.iter().filter(|w| !w.offers_more_than_rate);
-        let worst = worst.min_by(|a, b| a.served_part.total_cmp(&b.served_part));
+        let inside = || self.workspaces.iter().filter(|w| !w.offers_more_than_rate);
+        let worst = inside().min_by(|a, b| a.served_part.total_cmp(&b.served_part));
         if let Some(worst) = worst {
             println!(
                 "{:<22} Jain's index {:.3}; worst served `{}`: {:.1} % of {} asked, {} refused for the \
@@ -138,7 +138,6 @@
                 worst.refused,
             );
         }
-        let inside = || self.workspaces.iter().filter(|w| !w.offers_more_than_rate);
         let refused: usize = inside().map(|workspace| workspace.rate_limited).sum();
         let asked: usize = inside().map(|workspace| workspace.asked).sum();
         println!("{:<22} refused inside the rate: {refused} of {asked}", "");
--- a/crates/ebonydock_bench/src/overhead.rs
+++ b/crates/ebonydock_bench/src/overhead.rs
@@ -4,7 +4,8 @@
 
 use ebonydock::{GenerateRequest, ModelName};
 use ebonydock_standins::{
-    CALLER_KEYS, DataCentrePlan, EngineShape, SiteClient, SitePlan, StandInSite, chat_body,
+    DataCentrePlan, EngineShape, SiteClient, SitePlan, StandInSite, caller_key, chat_body,
+    chat_prompt,
 };
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -12,6 +13,7 @@
 use hdrhistogram::Histogram;
 use ntex::http::Method;
 
+use crate::bench_site::{configure, number, with_site};
 use crate::slopes::process_cpu_ms;
 
 const MODEL: &str = "clerk-8b";
@@ -65,14 +67,8 @@
     let mut options = Options::new();
     options.optopt("", "requests", "requests of each way", "N");
     let matches = options.parse(arguments).map_err(|error| error.to_string())?;
-    let requests = matches.opt_str("requests").map_or(Ok(DEFAULT_REQUESTS), |text| text.parse());
-    let requests = requests.map_err(|_| "`--requests` must be a whole number".to_owned())?;
-    let folder = std::env::temp_dir().join(format!("ebonydock-overhead-{}", std::process::id()));
-    let site = StandInSite::open(&plan(), &folder).map_err(|error| error.to_string())?;
-    let system = ntex::rt::System::new("overhead", ntex::rt::DefaultRuntime);
-    let result = system.block_on(compare(site, requests));
-    let _ = std::fs::remove_dir_all(&folder);
-    result
+    let requests = number(&matches, "requests", DEFAULT_REQUESTS)?;
+    with_site("overhead", &plan(), move |site, client| compare(site, client, requests))
 }
 
 fn plan() -> SitePlan {
@@ -87,16 +83,15 @@
     plan
 }
 
-async fn compare(site: StandInSite, requests: usize) -> Result<(), String> {
-    let client = SiteClient::open().await;
-    site.configure(&client).await.map_err(|error| error.to_string())?;
+async fn compare(site: StandInSite, client: SiteClient, requests: usize) -> Result<(), String> {
+    configure(&site, &client).await?;
     let engine = site.engines[0].engine.as_ref().ok_or("no engine runs")?.address();
     let vm = site.callers(0).ok_or("no VM runs")?;
     let target = RequestSite {
         client,
         engine: format!("http://{engine}/v1/generate"),
         vm: format!("http://{vm}/v1/chat/completions"),
-        key: format!("{CALLER_KEYS}zlatnik"),
+        key: caller_key("zlatnik"),
     };
     for (parallel, tokens) in [(1, 16), (PARALLEL, 1), (PARALLEL, 16), (PARALLEL, 64)] {
         let load = RequestLoad { parallel, tokens };
@@ -165,7 +160,7 @@
     let request = GenerateRequest {
         request_id: format!("{:x}", rand::random::<u64>()),
         model: ModelName::from(MODEL),
-        prompt: format!("<|user|>\n{question}\n"),
+        prompt: chat_prompt(question),
         max_tokens: tokens,
         generated: String::new(),
         generated_tokens: 0,
--- a/crates/ebonydock_bench/src/slopes/measure.rs
+++ b/crates/ebonydock_bench/src/slopes/measure.rs
@@ -19,6 +19,8 @@
 };
 use serde::Serialize;
 
+use crate::bench_site::with_site;
+
 const ROUNDS: u32 = 20_000;
 const CHANGES: u32 = 2000;
 const MODEL: &str = "clerk-8b";
@@ -47,7 +49,7 @@
 
 impl MeasuredSlopes {
     /// Measures everything.
-    pub(crate) fn measure() -> Self {
+    pub(crate) fn measure() -> Result<Self, String> {
         let targets = target_state();
         let (config_bytes, apply_ns) = configuration();
         let buckets = bucket_state();
@@ -72,13 +74,13 @@
         add("bucket, for a workspace", buckets, "bytes");
         add("target and its leases", targets, "bytes");
         for (name, vms) in [("4 VMs", 4), ("16 VMs", 16), ("48 VMs", 48)] {
-            let idle = idle_vms(vms);
+            let idle = idle_vms(vms)?;
             let label =
                 |what: &str| -> &'static str { Box::leak(format!("{what}, {name}").into()) };
             add(label("idle VM, processor"), idle.cpu_ms, "ms/s");
             add(label("idle VM, sent to VMs"), idle.sent, "bytes/s");
         }
-        Self { slopes }
+        Ok(Self { slopes })
     }
 
     /// The value of a slope.
@@ -366,30 +368,21 @@
     (ticks(11) + ticks(12)) * 1000.0 / TICKS
 }
 
-fn idle_vms(vms: usize) -> IdleCost {
-    let folder = std::env::temp_dir().join(format!("ebonydock-slopes-{}", std::process::id()));
+fn idle_vms(vms: usize) -> Result<IdleCost, String> {
     let data_centre =
         DataCentrePlan { name: "celje".into(), vms, engines: Vec::new(), services: 0 };
     let plan = SitePlan { data_centres: vec![data_centre], ..SitePlan::default() };
-    let site = match StandInSite::open(&plan, &folder) {
-        Ok(site) => site,
-        Err(error) => unreachable!("the site did not start: {error}"),
-    };
-    let system = ntex::rt::System::new("slopes", ntex::rt::DefaultRuntime);
-    let idle = system.block_on(async move {
-        let client = SiteClient::open().await;
+    with_site("slopes", &plan, move |site, client| async move {
         tokio::time::sleep(IDLE_TIME).await;
         let before = (process_cpu_ms(), sent_bytes(&client, &site).await);
         tokio::time::sleep(IDLE_TIME).await;
         let after = (process_cpu_ms(), sent_bytes(&client, &site).await);
         let seconds = IDLE_TIME.as_secs_f64();
-        IdleCost {
+        Ok(IdleCost {
             cpu_ms: (after.0 - before.0) / seconds / vms as f64,
             sent: (after.1 - before.1) / seconds,
-        }
-    });
-    let _ = std::fs::remove_dir_all(&folder);
-    idle
+        })
+    })
 }
 
 async fn sent_bytes(client: &SiteClient, site: &StandInSite) -> f64 {
--- a/crates/ebonydock_bench/src/slopes/mod.rs
+++ b/crates/ebonydock_bench/src/slopes/mod.rs
@@ -19,20 +19,19 @@
     options.optflag("", "write", "write the tables into docs/CAPACITY.md");
     options.optflag("", "check", "fail unless the page's slopes are within a factor of two");
     let matches = options.parse(arguments).map_err(|error| error.to_string())?;
-    let slopes = MeasuredSlopes::measure();
+    let slopes = MeasuredSlopes::measure()?;
     let page = CapacityPage::of(&slopes);
     if let Some(file) = matches.opt_str("json") {
         let json = serde_json::to_string_pretty(&slopes).map_err(|error| error.to_string())?;
         std::fs::write(&file, json).map_err(|error| format!("cannot write `{file}`: {error}"))?;
     }
-    if matches.opt_present("check") {
-        let text =
-            std::fs::read_to_string(PAGE).map_err(|e| format!("cannot read `{PAGE}`: {e}"))?;
-        return page.check(&text);
-    }
-    if matches.opt_present("write") {
+    let (check, write) = (matches.opt_present("check"), matches.opt_present("write"));
+    if check || write {
         let text =
             std::fs::read_to_string(PAGE).map_err(|e| format!("cannot read `{PAGE}`: {e}"))?;
+        if check {
+            return page.check(&text);
+        }
         let text = page.insert_into(&text)?;
         return std::fs::write(PAGE, text).map_err(|e| format!("cannot write `{PAGE}`: {e}"));
     }
--- a/crates/ebonydock_standins/src/answers.rs
+++ b/crates/ebonydock_standins/src/answers.rs
@@ -37,13 +37,13 @@
 }
 
 impl SiteClient {
-    /// Asks for a streamed chat answer and reads it; `on_first` is called when something of it arrived.
+    /// Asks for a streamed chat answer and reads it; `on_part` is called when a part of it arrived.
     pub async fn stream_chat(
         &self,
         address: SocketAddr,
         key: &str,
         body: Vec<u8>,
-        mut on_first: impl FnMut(),
+        mut on_part: impl FnMut(),
     ) -> StreamedAnswer {
         let url = format!("http://{address}/v1/chat/completions");
         let response = match self.send(Method::POST, url, Some(key), &[], body).await {
@@ -58,18 +58,15 @@
         }
         let mut payload = response.take_payload();
         let mut raw = Vec::new();
-        let mut broken = None;
-        while let Some(part) = payload.next().await {
-            match part {
-                Ok(part) => raw.extend_from_slice(&part),
-                Err(error) => broken = Some(error.to_string()),
+        let cut = loop {
+            match payload.next().await {
+                Some(Ok(part)) => raw.extend_from_slice(&part),
+                Some(Err(error)) => break error.to_string(),
+                None => break "it ended early".to_owned(),
             }
-            if broken.is_some() {
-                break;
-            }
-            on_first();
-        }
-        parse_events(&String::from_utf8_lossy(&raw), broken)
+            on_part();
+        };
+        parse_events(&String::from_utf8_lossy(&raw), cut)
     }
 
     /// Asks for a streamed chat answer to one question.
@@ -86,9 +83,10 @@
     }
 }
 
-fn parse_events(raw: &str, broken: Option<String>) -> StreamedAnswer {
+/// Reads the events; without a last one the answer was cut.
+fn parse_events(raw: &str, cut: String) -> StreamedAnswer {
     let mut text = String::new();
-    let mut end = StreamEnd::Cut(broken.unwrap_or_else(|| "it ended early".to_owned()));
+    let mut end = StreamEnd::Cut(cut);
     for data in raw.lines().filter_map(|line| line.strip_prefix("data: ")) {
         if data == "[DONE]" {
             end = StreamEnd::Done;
--- a/crates/ebonydock_standins/src/engine.rs
+++ b/crates/ebonydock_standins/src/engine.rs
@@ -215,24 +215,33 @@
         Some(Duration::from_micros(micros))
     }
 
+    /// For each answer that runs the one whose events it gets instead; empty unless answers are crossed.
+    fn crossed_answers(&self) -> Vec<(String, u64)> {
+        if !self.crossed || self.running.len() < 2 {
+            return Vec::new();
+        }
+        let answers = self.running.iter().map(|s| (s.request_id.clone(), s.seed));
+        let mut answers: Vec<(String, u64)> = answers.collect();
+        answers.rotate_left(1);
+        answers
+    }
+
     fn step(&mut self) {
-        let crossed = self.crossed && self.running.len() > 1;
-        let answers: Vec<(String, u64)> =
-            self.running.iter().map(|s| (s.request_id.clone(), s.seed)).collect();
+        let others = self.crossed_answers();
         let mut crashed = false;
-        let mut own = 0;
+        let mut index = 0;
         let counters = &mut self.counters;
         self.running.retain_mut(|sequence| {
             sequence.unread_tokens = 0;
-            let sent = if crossed { (own + 1) % answers.len() } else { own };
-            let (name, seed) = &answers[sent];
-            own += 1;
+            let own = (sequence.request_id.clone(), sequence.seed);
+            let (request_id, seed) = others.get(index).cloned().unwrap_or(own);
+            index += 1;
             crashed |= sequence.crash && sequence.next > 1;
             let done = sequence.next >= sequence.end;
             let event = EngineEvent {
-                request_id: name.clone(),
+                request_id,
                 index: sequence.next,
-                text: if done { String::new() } else { token(*seed, sequence.next) },
+                text: if done { String::new() } else { token(seed, sequence.next) },
                 finish_reason: done.then(|| "stop".to_owned()),
             };
             sequence.next += 1;
--- a/crates/ebonydock_standins/src/lib.rs
+++ b/crates/ebonydock_standins/src/lib.rs
@@ -19,6 +19,6 @@
 pub use proxy::{FaultProxy, ProxyFault};
 pub use service::{ServiceFault, ServiceStandIn};
 pub use site::{
-    CALLER_KEYS, DataCentrePlan, OPERATOR_KEY, SiteClient, SiteEngine, SitePlan, SiteVm,
-    StandInSite, VmPlan, chat_body, engine_entry, notice_entry, settings_text,
+    DataCentrePlan, OPERATOR_KEY, SiteClient, SiteEngine, SitePlan, SiteVm, StandInSite, VmPlan,
+    caller_key, chat_body, chat_prompt, engine_entry, notice_entry, settings_text,
 };
--- a/crates/ebonydock_standins/src/site.rs
+++ b/crates/ebonydock_standins/src/site.rs
@@ -23,8 +23,6 @@
 
 /// The operators' key of every stand-in site.
 pub const OPERATOR_KEY: &str = "operator-key-of-the-stand-in-site";
-/// Callers' keys by workspace, `key-of-` and the workspace.
-pub const CALLER_KEYS: &str = "key-of-";
 const LOOPBACK: &str = "127.0.0.1:0";
 const ANSWER_TIMEOUT: u32 = 60_000;
 const MOST_CONNECTIONS: usize = 65_536;
@@ -361,7 +359,7 @@
             routes: vec![rule("/hours", true)],
         };
         let workspaces = self.plan.workspaces.iter().flat_map(|entry| {
-            let key = KeyHash::of(&format!("{CALLER_KEYS}{}", entry.workspace));
+            let key = KeyHash::of(&caller_key(entry.workspace.as_str()));
             [Change::SetWorkspace(entry.clone()), Change::GiveKey(key, entry.workspace.clone())]
         });
         access.chain([Change::SetAccess(open)]).chain(workspaces).collect()
@@ -488,6 +486,16 @@
     }
 }
 
+/// The key of a workspace's callers.
+pub fn caller_key(workspace: &str) -> String {
+    format!("key-of-{workspace}")
+}
+
+/// The prompt that an engine gets for one question.
+pub fn chat_prompt(question: &str) -> String {
+    format!("<|user|>\n{question}\n")
+}
+
 /// The body of a chat request.
 pub fn chat_body(model: &str, content: &str, max_tokens: u32, stream: bool) -> Vec<u8> {
     let messages = [serde_json::json!({ "role": "user", "content": content })];
--- a/crates/ebonydockd/tests/site/durable.rs
+++ b/crates/ebonydockd/tests/site/durable.rs
@@ -23,6 +23,16 @@
     report["completed"].as_u64().unwrap_or(0)
 }
 
+/// Starts a job at the first VM and waits for its first commit. Returns the index of its lead.
+async fn start_led_job(site: &Site, count: usize) -> usize {
+    let (status, text) =
+        site.post(0, "/v1/batches?name=quotes", "association", items(count, 8)).await;
+    assert_eq!(status, 200, "{text}");
+    site.until("a chunk is committed", async || completed(site, 0, "quotes").await > 0).await;
+    let lead = lead_of(site, "quotes").unwrap();
+    site.vms.iter().position(|vm| vm.name == lead).unwrap()
+}
+
 fn committed_chunks(site: &Site, job: &str) -> serde_json::Map<String, Value> {
     let row = site.platform.row(&format!("progress/association/{job}"));
     let chunks = row.and_then(|row| row["chunks"].as_object().cloned());
@@ -37,12 +47,8 @@
 #[ntex::test]
 async fn a_job_survives_the_loss_of_its_lead() {
     let mut site = site_with_jobs(&["celje"], 3).await;
-    let (status, text) =
-        site.post(0, "/v1/batches?name=quotes", "association", items(600, 8)).await;
-    assert_eq!(status, 200, "{text}");
-    site.until("a chunk is committed", async || completed(&site, 0, "quotes").await > 0).await;
-    let lead = lead_of(&site, "quotes").unwrap();
-    let index = site.vms.iter().position(|vm| vm.name == lead).unwrap();
+    let index = start_led_job(&site, 600).await;
+    let lead = site.vms[index].name.clone();
     site.vms[index].kill();
     site.publish();
     let other = (index + 1) % 3;
@@ -53,10 +59,8 @@
 #[ntex::test]
 async fn a_paused_lead_does_not_commit_twice() {
     let site = site_with_jobs(&["celje"], 3).await;
-    site.post(0, "/v1/batches?name=quotes", "association", items(600, 8)).await;
-    site.until("a chunk is committed", async || completed(&site, 0, "quotes").await > 0).await;
-    let lead = lead_of(&site, "quotes").unwrap();
-    let index = site.vms.iter().position(|vm| vm.name == lead).unwrap();
+    let index = start_led_job(&site, 600).await;
+    let lead = site.vms[index].name.clone();
     site.vms[index].signal("-STOP");
     let other = (index + 1) % 3;
     site.until("another VM leads", async || lead_of(&site, "quotes").as_ref() != Some(&lead)).await;
@@ -68,10 +72,8 @@
 #[ntex::test]
 async fn a_write_of_a_lost_lead_that_arrives_late_has_no_effect() {
     let site = site_with_jobs(&["celje"], 3).await;
-    site.post(0, "/v1/batches?name=quotes", "association", items(3000, 8)).await;
-    site.until("a chunk is committed", async || completed(&site, 0, "quotes").await > 0).await;
-    let lead = lead_of(&site, "quotes").unwrap();
-    let index = site.vms.iter().position(|vm| vm.name == lead).unwrap();
+    let index = start_led_job(&site, 3000).await;
+    let lead = site.vms[index].name.clone();
     // The lead's next commit is on its way to the table for longer than a takeover takes.
     let late = PlatformFault { late_transactions_ms: 9000, ..PlatformFault::default() };
     site.platform.set_fault(late);
@@ -122,8 +124,7 @@
 #[ntex::test]
 async fn a_job_survives_the_loss_of_every_vm() {
     let mut site = site_with_jobs(&["celje"], 2).await;
-    site.post(0, "/v1/batches?name=quotes", "association", items(400, 8)).await;
-    site.until("a chunk is committed", async || completed(&site, 0, "quotes").await > 0).await;
+    start_led_job(&site, 400).await;
     for vm in &mut site.vms {
         vm.kill();
     }
--- a/crates/ebonydockd/tests/site/online.rs
+++ b/crates/ebonydockd/tests/site/online.rs
@@ -3,16 +3,14 @@
 use std::time::{Duration, Instant};
 
 use ebonydock::{Change, DataCentreId, KeyHash};
-use ebonydock_standins::{EngineShape, StreamEnd, chat_body, expected_answer};
+use ebonydock_standins::{
+    EngineShape, StreamEnd, caller_key, chat_body, chat_prompt, expected_answer,
+};
 use futures_util::future::join_all;
 use ntex::http::Method;
 use serde_json::Value;
 
-use crate::support::{MODEL, Site, fast_engine, key, workspace};
-
-fn prompt(content: &str) -> String {
-    format!("<|user|>\n{content}\n")
-}
+use crate::support::{MODEL, Site, fast_engine, workspace};
 
 fn text_of(answer: &Value) -> &str {
     answer["choices"][0]["message"]["content"].as_str().unwrap_or_default()
@@ -21,7 +19,8 @@
 /// The text of a streamed answer, and whether it ended as a whole one.
 async fn stream(site: &Site, vm: usize, name: &str, content: &str, tokens: u32) -> (String, bool) {
     let address = site.vms[vm].callers;
-    let answer = site.client.stream_question(address, &key(name), MODEL, content, tokens).await;
+    let answer =
+        site.client.stream_question(address, &caller_key(name), MODEL, content, tokens).await;
     (answer.text, answer.end == StreamEnd::Done)
 }
 
@@ -42,7 +41,7 @@
     let answer = stream(&site, 0, "zlatnik", "resize?", 100);
     let ((text, whole), ()) = futures_util::future::join(answer, break_off).await;
     assert!(whole);
-    assert_eq!(text, expected_answer(&prompt("resize?"), 100));
+    assert_eq!(text, expected_answer(&chat_prompt("resize?"), 100));
 }
 
 #[ntex::test]
@@ -55,7 +54,7 @@
     let answers = join_all(questions.iter().map(|q| site.chat(address, "zlatnik", q, 20))).await;
     for (question, (status, answer)) in questions.iter().zip(answers) {
         if status == 200 {
-            assert_eq!(text_of(&answer), expected_answer(&prompt(question), 20));
+            assert_eq!(text_of(&answer), expected_answer(&chat_prompt(question), 20));
         }
     }
 }
@@ -71,7 +70,7 @@
         })
         .await;
         let began = Instant::now();
-        site.change(0, vec![Change::WithdrawKey(KeyHash::of(&key("zlatnik")))]).await;
+        site.change(0, vec![Change::WithdrawKey(KeyHash::of(&caller_key("zlatnik")))]).await;
         for vm in 0..site.vms.len() {
             site.until("the key is refused", async || {
                 site.get(vm, "/v1/models", "zlatnik").await.0 == 401
@@ -86,8 +85,8 @@
     let (withdrawn, ended, kept) = futures_util::future::join3(withdraw, ended, kept).await;
     assert!(withdrawn < Duration::from_secs(3), "{withdrawn:?}");
     assert!(!ended.1, "the answer of the withdrawn key came whole");
-    assert!(kept.1 && kept.0 == expected_answer(&prompt("long"), 2000));
-    assert!(!site.logs().contains(&key("zlatnik")), "a key was logged");
+    assert!(kept.1 && kept.0 == expected_answer(&chat_prompt("long"), 2000));
+    assert!(!site.logs().contains(&caller_key("zlatnik")), "a key was logged");
 }
 
 #[ntex::test]
@@ -127,7 +126,7 @@
     let (answers, ()) = futures_util::future::join(answers, stop).await;
     for (text, whole) in answers {
         assert!(whole, "an answer was cut");
-        assert_eq!(text, expected_answer(&prompt("long"), 800));
+        assert_eq!(text, expected_answer(&chat_prompt("long"), 800));
     }
     let deadline = Instant::now() + Duration::from_secs(20);
     while !(site.vms[0].has_ended() && site.vms[1].has_ended()) {
--- a/crates/ebonydockd/tests/site/support.rs
+++ b/crates/ebonydockd/tests/site/support.rs
@@ -12,8 +12,8 @@
     WorkspaceEntry, WorkspaceId,
 };
 use ebonydock_standins::{
-    CALLER_KEYS, EngineShape, EngineStandIn, FaultProxy, PeerCertificates, PlatformStandIn,
-    ServiceStandIn, SiteClient, VmPlan, check_results, engine_entry, job_items, make_certificates,
+    EngineShape, EngineStandIn, FaultProxy, PeerCertificates, PlatformStandIn, ServiceStandIn,
+    SiteClient, VmPlan, caller_key, check_results, engine_entry, job_items, make_certificates,
     notice_entry, settings_text,
 };
 use ntex::http::{Method, StatusCode};
@@ -76,10 +76,6 @@
     folder: PathBuf,
 }
 
-pub fn key(workspace: &str) -> String {
-    format!("{CALLER_KEYS}{workspace}")
-}
-
 pub fn workspace(name: &str, rate: f64, burst: f64) -> WorkspaceEntry {
     let (workspace, plan) = (WorkspaceId::from(name), PlanName::from("standard"));
     WorkspaceEntry { workspace, plan, rate, burst, weight: 1.0 }
@@ -205,7 +201,7 @@
             access("open", Vec::new(), vec![rule("/hours", true)]),
         ];
         for entry in workspaces {
-            let hash = KeyHash::of(&key(entry.workspace.as_str()));
+            let hash = KeyHash::of(&caller_key(entry.workspace.as_str()));
             changes.push(Change::SetWorkspace(entry.clone()));
             changes.push(Change::GiveKey(hash, entry.workspace.clone()));
         }
@@ -260,12 +256,12 @@
         content: &str,
         tokens: u32,
     ) -> (u16, Value) {
-        self.client.chat(address, &key(workspace), MODEL, content, tokens).await
+        self.client.chat(address, &caller_key(workspace), MODEL, content, tokens).await
     }
 
     pub async fn get(&self, vm: usize, path: &str, workspace: &str) -> (u16, String) {
         let url = format!("http://{}{path}", self.vms[vm].callers);
-        self.client.call(Method::GET, url, Some(&key(workspace)), &[], "").await
+        self.client.call(Method::GET, url, Some(&caller_key(workspace)), &[], "").await
     }
 
     pub async fn post(
@@ -276,14 +272,14 @@
         body: String,
     ) -> (u16, String) {
         let url = format!("http://{}{path}", self.vms[vm].callers);
-        self.client.call(Method::POST, url, Some(&key(workspace)), &[], body).await
+        self.client.call(Method::POST, url, Some(&caller_key(workspace)), &[], body).await
     }
 
     /// Sends a notice; `name` is its idempotency key.
     pub async fn notify(&self, vm: usize, name: Option<&str>, body: &str) -> (u16, Value) {
         let url = format!("http://{}/services/notices/send/pickup", self.vms[vm].callers);
         let headers: Vec<(&str, &str)> = name.map(|n| ("idempotency-key", n)).into_iter().collect();
-        let key = key("zlatnik");
+        let key = caller_key("zlatnik");
         let (status, text) =
             self.client.call(Method::POST, url, Some(&key), &headers, body.to_owned()).await;
         (status, serde_json::from_str(&text).unwrap_or(Value::String(text)))
