--- /dev/null
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -0,0 +1,105 @@
+//! Metrics of a gateway in the `OpenMetrics` text format.
+
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::gateway::forward::AdmittedRequest;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    what: &'static str,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RankLabels {
+    rank: u32,
+}
+
+fn seconds_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.004, 1.8, 14))
+}
+
+/// The metrics of a gateway.
+pub struct GatewayMetrics {
+    registry: Registry,
+    outcomes: Family<OutcomeLabels, Counter>,
+    first_event: Family<RankLabels, Histogram, fn() -> Histogram>,
+    running: Gauge,
+    targets: Gauge,
+    peers_heard: Gauge,
+    config_version: Gauge,
+    connections: Gauge,
+}
+
+impl GatewayMetrics {
+    pub(crate) fn open() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("ebonydock_gateway"),
+            outcomes: Family::default(),
+            first_event: Family::new_with_constructor(seconds_histogram as fn() -> Histogram),
+            running: Gauge::default(),
+            targets: Gauge::default(),
+            peers_heard: Gauge::default(),
+            config_version: Gauge::default(),
+            connections: Gauge::default(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("outcomes", "Requests, attempts and jobs by outcome", metrics.outcomes.clone());
+        registry.register_with_unit(
+            "first_event",
+            "Time from the arrival of a request to its first event",
+            Unit::Seconds,
+            metrics.first_event.clone(),
+        );
+        registry.register("running", "Requests that run", metrics.running.clone());
+        registry.register("targets", "Targets that are listed", metrics.targets.clone());
+        registry.register("peers_heard", "VMs heard lately", metrics.peers_heard.clone());
+        registry.register("config_version", "Version in force", metrics.config_version.clone());
+        registry.register("connections_opened", "Connections opened", metrics.connections.clone());
+        metrics
+    }
+
+    pub(crate) fn count(&self, what: &'static str, outcome: &str) {
+        let labels = OutcomeLabels { what, outcome: outcome.to_owned() };
+        self.outcomes.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_first_event(&self, admitted: &AdmittedRequest, now: Duration) {
+        let took = now.saturating_sub(admitted.request.received_at);
+        let labels = RankLabels { rank: admitted.rank.into() };
+        self.first_event.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
+    pub(crate) fn set_gauges(&self, gauges: &GaugeValues) {
+        self.running.set(gauges.running as i64);
+        self.targets.set(gauges.targets as i64);
+        self.peers_heard.set(gauges.peers_heard as i64);
+        self.config_version.set(gauges.config_version as i64);
+        self.connections.set(gauges.connections_opened as i64);
+    }
+
+    /// All metrics as text.
+    pub fn encode(&self) -> String {
+        let mut out = String::new();
+        if text::encode(&mut out, &self.registry).is_err() {
+            log::error!("metrics not encoded");
+        }
+        out
+    }
+}
+
+/// The gauges at one moment.
+pub(crate) struct GaugeValues {
+    pub(crate) running: usize,
+    pub(crate) targets: usize,
+    pub(crate) peers_heard: usize,
+    pub(crate) config_version: u64,
+    pub(crate) connections_opened: u64,
+}
--- /dev/null
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -0,0 +1,50 @@
+//! Forwarding of opaque requests to targets, the same on every VM.
+//!
+//! A request is routed by its host and path, admitted by its workspace's key and quota, placed on a
+//! target by the VM's own view of the fleet, and forwarded unchanged. No VM waits for another one:
+//! VMs exchange what they use of targets and quotas and decide by themselves.
+//!
+//! [`PlacementBoard`], [`QuotaLedger`], [`RouteCatalog`] and the job book are decisions without I/O;
+//! [`Gateway`] runs them. The HTTP dialects on both sides are [`TargetTransport`] implementations and
+//! callers of [`Gateway`], outside this crate.
+
+mod board;
+mod catalog;
+mod connections;
+mod events;
+mod followers;
+mod forward;
+mod job_book;
+mod job_lead;
+mod job_service;
+mod load;
+mod logs;
+mod metrics;
+mod peering;
+mod quota;
+mod request;
+mod runtime;
+#[cfg(test)]
+mod tests;
+mod transport;
+
+pub use board::{
+    PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotRefusal, SlotUse, SlotWaiter,
+};
+pub use catalog::{
+    BatchTerms, CallerLimits, ForwardRoute, GatewayConfig, GatewayWorkspace, RouteBackend,
+    RouteCatalog, RouteClass, RouteMiss, ServiceProfile,
+};
+pub use connections::{ConnectionPool, PooledAnswer, PooledBody, SendError};
+pub use events::{EventSplitter, StreamEvent};
+pub use followers::{OperatorRecord, PlatformDialect};
+pub use forward::{AnswerBody, ForwardAnswer, GatewayRefusal, RefusalReason};
+pub use job_book::{JobItem, JobSubmission, ListedResult};
+pub use job_service::{JobAnswer, JobRefusal, JobResultPage};
+pub use load::{LoadReport, ReportedLoad, SpentQuota};
+pub use logs::open_decision_log;
+pub use metrics::GatewayMetrics;
+pub use quota::QuotaLedger;
+pub use request::{ForwardedRequest, PromptPart, RequestId, TokenDemand};
+pub use runtime::{Gateway, GatewaySettings};
+pub use transport::{ReplyBody, ReplyMeaning, TargetAttempt, TargetReply, TargetTransport};
--- /dev/null
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -0,0 +1,119 @@
+//! Quotas of workspaces over all VMs.
+//!
+//! Each VM keeps its own copy of every workspace's bucket and takes the spending that other VMs report
+//! out of it. A copy refills at the part of the rate that the VMs stand for from which this VM hears, so
+//! the two sides of a network partition together admit no more than the whole rate.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::gateway::load::SpentQuota;
+use crate::ids::{VmId, WorkspaceId};
+
+/// Debt from late reports of other VMs is remembered up to this much of the burst and rate.
+const DEBT_LIMIT_S: f64 = 1.0;
+/// A refused caller is not asked back sooner.
+const LEAST_RETRY: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+struct WorkspaceBucket {
+    level: f64,
+    updated_at: Duration,
+    own_spent: u64,
+    reported: HashMap<VmId, u64>,
+}
+
+/// The buckets of all workspaces, as one VM knows them.
+#[derive(Debug, Default)]
+pub struct QuotaLedger {
+    buckets: HashMap<WorkspaceId, WorkspaceBucket>,
+}
+
+impl QuotaLedger {
+    fn bucket(&mut self, workspace: &WorkspaceId, now: Duration) -> &mut WorkspaceBucket {
+        // Starts empty: whoever ran before this start may have spent the burst.
+        self.buckets.entry(workspace.clone()).or_insert_with(|| WorkspaceBucket {
+            level: 0.0,
+            updated_at: now,
+            own_spent: 0,
+            reported: HashMap::new(),
+        })
+    }
+
+    /// Refills all buckets; called when the configuration comes into force, so that a workspace's first
+    /// request does not meet an empty bucket.
+    pub fn track(&mut self, now: Duration, workspace: &WorkspaceId) {
+        self.bucket(workspace, now);
+    }
+
+    /// Takes one request out of a workspace's bucket. `share` is the part of all VMs that this one
+    /// hears from, itself included.
+    ///
+    /// # Errors
+    ///
+    /// When a request will fit.
+    pub fn admit(
+        &mut self,
+        now: Duration,
+        workspace: &WorkspaceId,
+        rate: f64,
+        burst: f64,
+        share: f64,
+    ) -> Result<(), Duration> {
+        if rate <= 0.0 {
+            return Ok(());
+        }
+        let bucket = self.bucket(workspace, now);
+        let elapsed = now.saturating_sub(bucket.updated_at).as_secs_f64();
+        bucket.updated_at = now;
+        let full = (burst * share).max(1.0);
+        bucket.level = (bucket.level + elapsed * rate * share).min(full);
+        if bucket.level < 1.0 {
+            let wait = Duration::from_secs_f64((1.0 - bucket.level) / (rate * share));
+            return Err(wait.max(LEAST_RETRY));
+        }
+        bucket.level -= 1.0;
+        bucket.own_spent += 1;
+        Ok(())
+    }
+
+    /// Gives back a request that no target ran.
+    pub fn refund(&mut self, now: Duration, workspace: &WorkspaceId) {
+        let bucket = self.bucket(workspace, now);
+        bucket.level += 1.0;
+        bucket.own_spent = bucket.own_spent.saturating_sub(1);
+    }
+
+    /// Takes what another VM says that it has spent since its start.
+    pub fn observe(
+        &mut self,
+        now: Duration,
+        vm: &VmId,
+        workspace: &WorkspaceId,
+        spent: u64,
+        rate: f64,
+    ) {
+        let bucket = self.bucket(workspace, now);
+        let before = bucket.reported.insert(vm.clone(), spent).unwrap_or(spent);
+        let debt = -(rate * DEBT_LIMIT_S).max(1.0);
+        bucket.level = (bucket.level - spent.saturating_sub(before) as f64).max(debt);
+    }
+
+    /// Forgets what a VM reported, because it has ended.
+    pub fn forget(&mut self, vm: &VmId) {
+        for bucket in self.buckets.values_mut() {
+            bucket.reported.remove(vm);
+        }
+    }
+
+    /// What this VM has spent since its start.
+    pub fn spent(&self) -> Vec<SpentQuota> {
+        let spent = self.buckets.iter().filter(|(_, bucket)| bucket.own_spent > 0);
+        spent
+            .map(|(workspace, bucket)| SpentQuota {
+                workspace: workspace.clone(),
+                requests: bucket.own_spent,
+            })
+            .collect()
+    }
+}
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod configuration;
 mod entry;
+mod gateway;
 mod ids;
 mod jobs;
 mod limits;
@@ -28,6 +29,17 @@
     AccessEntry, Change, ConfigDocument, KeyHash, RouteRule, ServiceCall, VersionedBatch,
     WorkspaceEntry,
 };
+pub use gateway::{
+    AnswerBody, BatchTerms, CallerLimits, ConnectionPool, EventSplitter, ForwardAnswer,
+    ForwardRoute, ForwardedRequest, Gateway, GatewayConfig, GatewayMetrics, GatewayRefusal,
+    GatewaySettings, GatewayWorkspace, JobAnswer, JobItem, JobRefusal, JobResultPage,
+    JobSubmission, ListedResult, LoadReport, OperatorRecord, PlacementBoard, PlacementOutcome,
+    PlatformDialect, PooledAnswer, PooledBody, PromptPart, QuotaLedger, RefusalReason, ReplyBody,
+    ReplyMeaning, ReportedLoad, RequestId, RouteBackend, RouteCatalog, RouteClass, RouteMiss,
+    SendError, ServiceProfile, ServingTarget, SlotNeed, SlotRefusal, SlotUse, SlotWaiter, SpentQuota,
+    StreamEvent, TargetAttempt, TargetReply, TargetTransport, TokenDemand,
+    open_decision_log,
+};
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
     RowKey, ServiceName, TargetId, VmId, WorkspaceId,
@@ -43,6 +55,9 @@
 };
 pub use ownership::{owner_of, ranked};
 pub use platform::http::PlatformClient;
+pub use platform::rows::{
+    RowError, RowId, RowPage, RowResult, RowStore, RowTransaction, StoredRow,
+};
 pub use platform::{
     EngineCapability, FleetListing, ObjectStore, PlatformError, PlatformResult, RowCondition,
     RowWrite, TableRow, TableStore, TableTransaction, TargetEntry, TargetRole, VmEntry, VmList,
--- a/crates/ebonydock/src/peers/endpoint.rs
+++ b/crates/ebonydock/src/peers/endpoint.rs
@@ -51,6 +51,7 @@
     endpoint: Endpoint,
     links: Arc<Mutex<HashMap<VmId, PeerLink>>>,
     connecting: Arc<tokio::sync::Mutex<()>>,
+    client: Arc<Mutex<Option<quinn::ClientConfig>>>,
     counters: Arc<TrafficCounters>,
 }
 
@@ -61,14 +62,15 @@
         address: SocketAddr,
         identity: &TlsIdentity,
     ) -> Result<Self, String> {
-        let mut endpoint = Endpoint::server(identity.server_config()?, address)
+        let endpoint = Endpoint::server(identity.server_config()?, address)
             .map_err(|error| format!("cannot bind `{address}`: {error}"))?;
-        endpoint.set_default_client_config(identity.client_config()?);
+        let client = Arc::new(Mutex::new(Some(identity.client_config()?)));
         Ok(Self {
             vm: vm.clone(),
             endpoint,
             links: Arc::default(),
             connecting: Arc::default(),
+            client,
             counters: Arc::default(),
         })
     }
@@ -139,6 +141,19 @@
         });
     }
 
+    /// Replaces the certificates that connections are made and accepted with.
+    pub(crate) fn set_identity(&self, identity: &TlsIdentity) -> Result<(), String> {
+        self.endpoint.set_server_config(Some(identity.server_config()?));
+        let client = identity.client_config()?;
+        self.client.lock().unwrap_or_else(PoisonError::into_inner).replace(client);
+        Ok(())
+    }
+
+    /// Whether a connection to a VM is open.
+    pub(crate) fn is_linked(&self, vm: &VmId, address: SocketAddr) -> bool {
+        self.open_link(vm, address).is_some()
+    }
+
     /// Closes the connection to a VM, which fails the requests that wait for it.
     pub(crate) fn disconnect(&self, vm: &VmId) {
         let link = self.links.lock().unwrap_or_else(PoisonError::into_inner).remove(vm);
@@ -171,9 +186,11 @@
         if let Some(connection) = self.open_link(vm, address) {
             return Ok(connection);
         }
+        let client = self.client.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let client = client.ok_or_else(|| PeerError::NotConnected("no certificates".to_owned()))?;
         let connecting = self
             .endpoint
-            .connect(address, PEER_NAME)
+            .connect_with(client, address, PEER_NAME)
             .map_err(|error| PeerError::NotConnected(error.to_string()))?;
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
--- a/crates/ebonydock/src/platform/mod.rs
+++ b/crates/ebonydock/src/platform/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod durable;
 pub mod http;
+pub mod rows;
 #[cfg(test)]
 pub(crate) mod tests;
 
--- a/crates/ebonydock/src/vm/handler.rs
+++ b/crates/ebonydock/src/vm/handler.rs
@@ -112,7 +112,8 @@
     }
 
     fn datagram(&self, from: VmId, datagram: PeerDatagram) {
-        let PeerDatagram::Heartbeat(heartbeat) = datagram;
+        // Load reports concern gateways only.
+        let PeerDatagram::Heartbeat(heartbeat) = datagram else { return };
         let shared = &self.context.shared;
         for pool in &heartbeat.pools {
             shared.fleet().note_pool(pool.clone());
