--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -102,6 +102,18 @@
     partials: SharedPartials,
 }
 
+/// Marks a job as being started by this VM.
+struct StartingGuard {
+    core: Rc<GatewayCore>,
+    job: JobName,
+}
+
+impl Drop for StartingGuard {
+    fn drop(&mut self) {
+        self.core.jobs.starting.borrow_mut().remove(&self.job);
+    }
+}
+
 /// Committed results never change, so any part of them may be kept.
 #[derive(Default)]
 struct ResultCache {
@@ -325,10 +337,14 @@
         let own = job.clone();
         let task = tokio::task::spawn_local(async move {
             lead.run(listed).await;
+            // Aborted leads do not come here, so the entry is this lead's own.
             core.jobs.leads.borrow_mut().remove(&own);
             core.jobs.inputs.borrow_mut().remove(&own);
         });
-        self.jobs.leads.borrow_mut().insert(job, RunningLead { task, partials });
+        let before = self.jobs.leads.borrow_mut().insert(job, RunningLead { task, partials });
+        if let Some(before) = before {
+            before.task.abort();
+        }
     }
 
     /// Takes a job over or in.
@@ -381,6 +397,11 @@
             lead_incarnation: self.incarnation,
             ended: false,
         };
+        // The feed may tell of the job before the store's answer does; it is not to be taken over then.
+        if !self.jobs.starting.borrow_mut().insert(job.clone()) {
+            return Err(JobRefusal::Unavailable);
+        }
+        let _starting = StartingGuard { core: Rc::clone(self), job: job.clone() };
         self.write_job(&job, head, &inputs, submission.items.clone()).await
     }
 
@@ -651,10 +672,10 @@
 
 /// Makes this VM the lead of a job and starts it.
 async fn take_lead(core: Rc<GatewayCore>, job: JobName) {
-    if let Err(error) = try_lead(&core, &job).await {
-        log::info!(job = job.as_str(), error = error.to_string(); "job not taken over");
+    let starting = StartingGuard { core, job };
+    if let Err(error) = try_lead(&starting.core, &starting.job).await {
+        log::info!(job = starting.job.as_str(), error = error.to_string(); "job not taken over");
     }
-    core.jobs.starting.borrow_mut().remove(&job);
 }
 
 async fn try_lead(core: &Rc<GatewayCore>, job: &JobName) -> RowResult<()> {
--- a/crates/ebonydock/src/gateway/logs.rs
+++ b/crates/ebonydock/src/gateway/logs.rs
@@ -22,7 +22,10 @@
 
 impl<'kvs> VisitSource<'kvs> for FieldCollector<'_> {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        let value = value.to_u64().map_or_else(|| value.to_string().into(), Into::into);
+        let text = value.to_string();
+        let number = value.to_u64().map(serde_json::Value::from);
+        let value = number.or_else(|| value.to_bool().map(Into::into));
+        let value = value.unwrap_or_else(|| text.into());
         self.0.insert(key.to_string(), value);
         Ok(())
     }
