--- a/crates/ebonydock/src/gateway/board.rs
+++ b/crates/ebonydock/src/gateway/board.rs
@@ -22,6 +22,11 @@
 const PREFIX_LIMIT: usize = 4096;
 /// The part of a service's slots that batch items leave free for online requests.
 const ONLINE_RESERVE: f64 = 0.12;
+/// Batch items start again when this much more is free, so that they do not start just to yield.
+const BATCH_MARGIN: f64 = 0.04;
+/// Yielding and starting of batch is decided this often: the effect of the other VMs' last decision has
+/// been reported by then.
+pub(crate) const BATCH_INTERVAL: Duration = Duration::from_millis(40);
 /// A target that failed is left alone for this long, twice as long after each further failure.
 const FIRST_SUSPICION: Duration = Duration::from_millis(250);
 /// The longest time that a failing target is left alone before it is tried again.
@@ -125,6 +130,7 @@
     online: u32,
     batch: u32,
     reported: u32,
+    reported_batch: u32,
     cold_until: Duration,
     cold_next: Duration,
     suspect_until: Duration,
@@ -156,6 +162,8 @@
 #[derive(Debug, Default)]
 struct ServiceQueue {
     waiters: BTreeMap<WaitKey, Waiter>,
+    /// Batch items that this VM may start before the next look at the fleet.
+    batch_allowance: u32,
     window_start: Duration,
     window_placed: u32,
     placed_per_s: f64,
@@ -186,6 +194,19 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceUsage {
+    all: u32,
+    free: u32,
+    own_batch: u32,
+    batch: u32,
+}
+
+/// Rounds up or down so that the mean is exact: the shares of many VMs add up to the whole.
+fn round_randomly(value: f64) -> u32 {
+    (value + rand::random::<f64>()).floor() as u32
+}
+
 #[derive(Debug)]
 struct VmLoad {
     incarnation: u64,
@@ -242,6 +263,7 @@
                     online: 0,
                     batch: 0,
                     reported: 0,
+                    reported_batch: 0,
                     cold_until,
                     cold_next: now,
                     suspect_until: Duration::ZERO,
@@ -337,12 +359,15 @@
     }
 
     fn count_reports(&mut self) {
-        let mut reported: HashMap<u32, u32> = HashMap::new();
+        let mut reported: HashMap<u32, (u32, u32)> = HashMap::new();
         for load in self.vms.values().flat_map(|load| &load.targets) {
-            *reported.entry(load.target).or_default() += u32::from(load.online + load.batch);
+            let sums = reported.entry(load.target).or_default();
+            sums.0 += u32::from(load.online) + u32::from(load.batch);
+            sums.1 += u32::from(load.batch);
         }
         for (id, slots) in &mut self.targets {
-            slots.reported = reported.get(&target_hash(id)).copied().unwrap_or(0);
+            let sums = reported.get(&target_hash(id)).copied().unwrap_or_default();
+            (slots.reported, slots.reported_batch) = sums;
         }
     }
 
@@ -362,19 +387,51 @@
         waiters.filter(|waiter| waiter.need.class == RequestClass::Online).count()
     }
 
-    /// Whether online requests wait anywhere, as far as this VM knows.
-    pub fn is_pressed(&self) -> bool {
-        self.waiting_online() > 0 || self.vms.values().any(|load| load.waiting > 0)
+    /// The slots of a service over the targets that may be used.
+    fn usage(&self, now: Duration, service: &ServiceName) -> ServiceUsage {
+        let usable = self
+            .targets
+            .values()
+            .filter(|slots| slots.target.service == *service && slots.is_usable(now, &self.closed));
+        usable.fold(ServiceUsage::default(), |usage, slots| ServiceUsage {
+            all: usage.all + slots.target.slots,
+            free: usage.free + slots.target.slots.saturating_sub(slots.in_use()),
+            own_batch: usage.own_batch + slots.batch,
+            batch: usage.batch + slots.batch + slots.reported_batch,
+        })
     }
 
-    /// The free slots and all slots of a service, over the targets that may be used.
-    pub fn room(&self, now: Duration, service: &ServiceName) -> (u32, u32) {
-        let usable = self.targets.values().filter(|slots| {
-            slots.target.service == *service && slots.is_usable(now, &self.closed)
-        });
-        usable.fold((0, 0), |(free, all), slots| {
-            (free + slots.target.slots.saturating_sub(slots.in_use()), all + slots.target.slots)
-        })
+    fn waiting_anywhere(&self) -> u32 {
+        let others: u32 = self.vms.values().map(|load| u32::from(load.waiting)).sum();
+        self.waiting_online() as u32 + others
+    }
+
+    /// The slots that are to be free for online requests.
+    fn reserve(&self, usage: &ServiceUsage) -> f64 {
+        (f64::from(usage.all) * ONLINE_RESERVE).max(f64::from(self.waiting_anywhere()))
+    }
+
+    /// Decides for each service how many batch items of this VM yield, and how many may start until the
+    /// next decision. Both are this VM's share of what the whole fleet has too many or too few.
+    pub fn balance_batch(&mut self, now: Duration) -> Vec<(ServiceName, u32)> {
+        let mut yielding = Vec::new();
+        let services: Vec<ServiceName> = self.queues.keys().cloned().collect();
+        for service in services {
+            let usage = self.usage(now, &service);
+            let room = f64::from(usage.free) - self.reserve(&usage);
+            let vms = (self.vms.len() + 1) as f64;
+            let margin = f64::from(usage.all) * BATCH_MARGIN;
+            let allowance = round_randomly((room - margin).max(0.0) / vms);
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.batch_allowance = allowance;
+            }
+            let share = f64::from(usage.own_batch) / f64::from(usage.batch.max(1));
+            let excess = round_randomly((-room).max(0.0) * share).min(usage.own_batch);
+            if excess > 0 {
+                yielding.push((service, excess));
+            }
+        }
+        yielding
     }
 
     /// Whether a service has any target that may be used.
@@ -467,8 +524,8 @@
     }
 
     fn place(&mut self, now: Duration, need: &SlotNeed) -> Option<TargetId> {
-        if need.class == RequestClass::Batch && !self.has_room_for_batch(now, &need.service) {
-            return None;
+        if need.class == RequestClass::Batch {
+            self.queues.get(&need.service).filter(|queue| queue.batch_allowance > 0)?;
         }
         let id = self.choose(now, need)?;
         let cold_rate = self.cold_rate(&need.service);
@@ -481,7 +538,11 @@
             slots.cold_next = now + Duration::from_secs_f64(1.0 / cold_rate);
         }
         self.remember_prefix(need.prefix, &id);
-        self.queues.entry(need.service.clone()).or_default().count_placement(now);
+        let queue = self.queues.entry(need.service.clone()).or_default();
+        queue.count_placement(now);
+        if need.class == RequestClass::Batch {
+            queue.batch_allowance = queue.batch_allowance.saturating_sub(1);
+        }
         Some(id)
     }
 
@@ -489,11 +550,6 @@
         self.cold_rates.get(service).copied().unwrap_or(0.0) / self.fleet_size as f64
     }
 
-    fn has_room_for_batch(&self, now: Duration, service: &ServiceName) -> bool {
-        let (free, all) = self.room(now, service);
-        !self.is_pressed() && f64::from(free) > f64::from(all) * ONLINE_RESERVE
-    }
-
     fn choose(&self, now: Duration, need: &SlotNeed) -> Option<TargetId> {
         let cold_limited = self.cold_rate(&need.service) > 0.0;
         let warmed = need.prefix.and_then(|prefix| self.prefixes.get(&prefix));
--- a/crates/ebonydock/src/gateway/catalog.rs
+++ b/crates/ebonydock/src/gateway/catalog.rs
@@ -179,7 +179,8 @@
             prefixes.insert(route.path_prefix.clone(), Arc::new(route));
         }
         let listed = config.workspaces.iter().flatten().enumerate();
-        let keys = listed.flat_map(|(index, entry)| entry.keys.iter().map(move |key| (*key, index)));
+        let keys =
+            listed.flat_map(|(index, entry)| entry.keys.iter().map(move |key| (*key, index)));
         Self {
             version: config.version,
             limits: config.limits,
--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -91,7 +91,10 @@
     }
 
     /// Tells `on_news` of all rows and of each change.
-    pub(crate) async fn run(mut self, on_news: impl Fn(&Rc<GatewayCore>, TableNews, Option<Duration>)) {
+    pub(crate) async fn run(
+        mut self,
+        on_news: impl Fn(&Rc<GatewayCore>, TableNews, Option<Duration>),
+    ) {
         loop {
             let listed = self.list().await;
             let Some((rows, mut version)) = self.checked(listed).await else { continue };
@@ -247,7 +250,8 @@
 
     /// Drops entries that have not come back in time; true if there were any.
     pub(crate) fn expire(&mut self, now: Duration) -> bool {
-        let expired: Vec<String> = self.lapsed.extract_if(|_, until| now >= *until).map(|(key, _)| key).collect();
+        let expired: Vec<String> =
+            self.lapsed.extract_if(|_, until| now >= *until).map(|(key, _)| key).collect();
         for key in &expired {
             log::info!(target_id = key; "target gone: did not register again");
             self.targets.remove(key);
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -154,8 +154,7 @@
         let mut log = AttemptLog::default();
         let answer = tokio::time::timeout(left, self.answer(admitted, &mut log)).await;
         answer.unwrap_or_else(|_| {
-            let reason =
-                if log.runs == 0 { RefusalReason::Busy } else { RefusalReason::TimedOut };
+            let reason = if log.runs == 0 { RefusalReason::Busy } else { RefusalReason::TimedOut };
             Err(GatewayRefusal::of(reason))
         })
     }
@@ -175,7 +174,8 @@
         }
         let service = RouteCatalog::pick_service(found.route, rand::random());
         let service = service.ok_or(GatewayRefusal::of(RefusalReason::NoTarget))?.clone();
-        let limit = request.patience.map_or(found.route.timeout, |left| left.min(found.route.timeout));
+        let limit =
+            request.patience.map_or(found.route.timeout, |left| left.min(found.route.timeout));
         Ok(AdmittedRequest {
             ends_at: request.received_at + limit,
             service,
@@ -196,7 +196,8 @@
         let aim = admitted.route.latency_aim.mul_f64(WAIT_PART);
         let place_by = (admitted.request.received_at + aim).min(admitted.ends_at);
         loop {
-            let attempt = self.attempt(&admitted, log, place_by, admitted.request.last_event).await?;
+            let attempt =
+                self.attempt(&admitted, log, place_by, admitted.request.last_event).await?;
             if attempt.reply.has_events && attempt.reply.status.is_success() {
                 if let Some(answer) = self.begin_stream(&admitted, attempt, log).await? {
                     return Ok(answer);
@@ -360,7 +361,11 @@
             while let Some(next) = part {
                 let broken = next.is_err();
                 if parts.send(next).await.is_err() || broken {
-                    return lease.release(if broken { SlotUse::Failed } else { SlotUse::Cancelled });
+                    return lease.release(if broken {
+                        SlotUse::Failed
+                    } else {
+                        SlotUse::Cancelled
+                    });
                 }
                 let left = ends_at.saturating_sub(monotonic());
                 part = tokio::select! {
@@ -407,8 +412,7 @@
     if log.runs > 0 {
         return GatewayRefusal::of(RefusalReason::Failed);
     }
-    let reason =
-        if refusal.has_targets { RefusalReason::Busy } else { RefusalReason::NoTarget };
+    let reason = if refusal.has_targets { RefusalReason::Busy } else { RefusalReason::NoTarget };
     let most = admitted.time_left().mul_f64(RETRY_PART);
     // Callers that are refused together must not come back together.
     let spread = 1.0 + rand::random::<f64>() * 0.5;
--- a/crates/ebonydock/src/gateway/job_book.rs
+++ b/crates/ebonydock/src/gateway/job_book.rs
@@ -304,16 +304,19 @@
 
     /// The jobs whose rows may be deleted, because their results were kept for long enough.
     pub(crate) fn expired(&self, accepted_before: Duration) -> Vec<JobName> {
-        let expired = self.entries.iter().filter(|(_, entry)| {
-            !entry.is_open() && entry.head.accepted_at < accepted_before
-        });
+        let expired = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| !entry.is_open() && entry.head.accepted_at < accepted_before);
         expired.map(|(job, _)| job.clone()).collect()
     }
 
     /// The tokens that a workspace has waiting on a route.
     pub(crate) fn waiting_tokens(&self, workspace: Option<&WorkspaceId>, route: &str) -> u64 {
         let jobs = self.entries.values().filter(|entry| {
-            entry.is_open() && entry.head.workspace.as_ref() == workspace && entry.head.route == route
+            entry.is_open()
+                && entry.head.workspace.as_ref() == workspace
+                && entry.head.route == route
         });
         jobs.map(|entry| entry.head.tokens.saturating_sub(entry.progress.listed_tokens)).sum()
     }
--- a/crates/ebonydock/src/gateway/job_lead.rs
+++ b/crates/ebonydock/src/gateway/job_lead.rs
@@ -7,7 +7,7 @@
 
 use futures_util::StreamExt;
 use http::{HeaderName, HeaderValue, Method, StatusCode};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
 
 use crate::clock::monotonic;
@@ -141,8 +141,7 @@
             progress.listed += 1;
             progress.listed_tokens += self.items[result.index as usize].tokens;
         }
-        let transaction =
-            transaction.write(JOB_TABLE, &self.job.progress_key(), encode(&progress));
+        let transaction = transaction.write(JOB_TABLE, &self.job.progress_key(), encode(&progress));
         let Some(version) = self.write(&transaction, progress.attempt).await else { return false };
         let first = self.entry.progress.listed;
         self.entry.progress = progress;
@@ -201,6 +200,8 @@
 
 enum RunEnd {
     Complete,
+    /// The slot was needed for an online request.
+    Yielded,
     Broken(String),
 }
 
@@ -242,6 +243,7 @@
                         let text = self.with_partial(|partial| std::mem::take(&mut partial.text));
                         return ItemOutcome::Completed(text);
                     }
+                    RunEnd::Yielded => {}
                     RunEnd::Broken(reason) => {
                         log::info!(
                             job = self.job.as_str(), item = self.item().id, reason = reason,
@@ -309,8 +311,13 @@
         let RunningAttempt { reply, lease } = attempt;
         let mut body = reply.body;
         let mut splitter = EventSplitter::default();
+        let mut yields = lease.watch_yield();
         let end = loop {
-            match tokio::time::timeout(ITEM_SILENCE, body.next()).await {
+            let part = tokio::select! {
+                part = tokio::time::timeout(ITEM_SILENCE, body.next()) => part,
+                () = told(&mut yields) => break RunEnd::Yielded,
+            };
+            match part {
                 Ok(Some(Ok(bytes))) => {
                     splitter.push(&bytes);
                     while let Some(event) = splitter.next_event() {
@@ -326,6 +333,7 @@
         drop(body);
         lease.release(match end {
             RunEnd::Complete => SlotUse::Answered,
+            RunEnd::Yielded => SlotUse::Cancelled,
             RunEnd::Broken(_) => SlotUse::Failed,
         });
         end
@@ -346,15 +354,34 @@
     }
 }
 
+/// Waits until a slot has to yield.
+async fn told(yields: &mut Option<oneshot::Receiver<()>>) {
+    match yields {
+        Some(receiver) => {
+            // A sender that is gone without a word is that of a slot that is released already.
+            if receiver.await.is_err() {
+                *yields = None;
+                std::future::pending::<()>().await;
+            }
+        }
+        None => std::future::pending().await,
+    }
+}
+
 /// The transaction by which a stopping lead hands its job on with the output so far.
-pub(crate) fn hand_on(job: &JobName, entry: &JobEntry, partials: &[PartialOutput]) -> RowTransaction {
+pub(crate) fn hand_on(
+    job: &JobName,
+    entry: &JobEntry,
+    partials: &[PartialOutput],
+) -> RowTransaction {
     let mut head = entry.head.clone();
     head.lead = String::new();
     head.lead_incarnation = 0;
     let transaction = RowTransaction::in_part(&job.part())
         .expect(JOB_TABLE, &job.head_key(), entry.head_version)
         .write(JOB_TABLE, &job.head_key(), encode(&head));
-    let begun = partials.iter().enumerate().filter(|(_, partial)| **partial != PartialOutput::default());
+    let begun =
+        partials.iter().enumerate().filter(|(_, partial)| **partial != PartialOutput::default());
     begun.take(COMMIT_RESULTS).fold(transaction, |transaction, (index, partial)| {
         write_chunks(transaction, PARTIAL_TABLE, job, index, &encode(partial))
     })
@@ -366,7 +393,9 @@
     for (index, value) in values {
         match (decode(value), partials.get_mut(*index)) {
             (Ok(partial), Some(slot)) => *slot = partial,
-            (Err(reason), _) => log::error!(item_index = *index as u64, reason = reason; "partial output unreadable"),
+            (Err(reason), _) => {
+                log::error!(item_index = *index as u64, reason = reason; "partial output unreadable")
+            }
             (Ok(_), None) => {}
         }
     }
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -259,7 +259,8 @@
         let from = format!("{}/", job.as_str());
         let page = self.rows.range(JOB_TABLE, &part, &from, &job.end_key()).await?;
         let find = |key: &str| page.rows.iter().find(|row| row.key == key);
-        let (Some(head), Some(progress)) = (find(&job.head_key()), find(&job.progress_key())) else {
+        let (Some(head), Some(progress)) = (find(&job.head_key()), find(&job.progress_key()))
+        else {
             return Ok(None);
         };
         let unreadable = |reason| RowError::Refused(format!("job `{}`: {reason}", job.as_str()));
@@ -348,10 +349,7 @@
     }
 
     /// Takes a job over or in.
-    pub(crate) async fn submit_job(
-        self: &Rc<Self>,
-        submission: JobSubmission,
-    ) -> JobAnswer<()> {
+    pub(crate) async fn submit_job(self: &Rc<Self>, submission: JobSubmission) -> JobAnswer<()> {
         let accepted = self.accept_job(&submission).await;
         let outcome = accepted.map_or_else(JobRefusal::as_str, |()| "accepted");
         log::info!(
@@ -461,8 +459,7 @@
             }
             tokio::time::sleep(STORE_PAUSE).await;
         };
-        let entry =
-            JobEntry { head, head_version: version, progress, progress_version: version };
+        let entry = JobEntry { head, head_version: version, progress, progress_version: version };
         self.note_job(job, &entry);
         let start = LeadStart {
             job: job.clone(),
@@ -661,8 +658,7 @@
             let rows = self.read_rows(table, job, &format!("{}/", job.as_str())).await?;
             for rows in rows.chunks(DELETE_ROWS) {
                 let transaction = RowTransaction::in_part(&job.part());
-                let transaction =
-                    rows.iter().fold(transaction, |t, row| t.delete(table, &row.key));
+                let transaction = rows.iter().fold(transaction, |t, row| t.delete(table, &row.key));
                 self.rows.transact(&transaction).await?;
             }
         }
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -51,7 +51,11 @@
             connections: Gauge::default(),
         };
         let registry = &mut metrics.registry;
-        registry.register("outcomes", "Requests, attempts and jobs by outcome", metrics.outcomes.clone());
+        registry.register(
+            "outcomes",
+            "Requests, attempts and jobs by outcome",
+            metrics.outcomes.clone(),
+        );
         registry.register_with_unit(
             "first_event",
             "Time from the arrival of a request to its first event",
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -25,7 +25,7 @@
 /// The table of VMs.
 pub(crate) const MEMBER_TABLE: &str = "gateway_members";
 /// Load is reported at most this often; each report costs every other VM a datagram.
-const REPORT_INTERVAL: Duration = Duration::from_millis(40);
+const REPORT_INTERVAL: Duration = Duration::from_millis(15);
 /// Unchanged load is reported this often, several times within the lifetime of a report.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// A VM that cannot be reached is tried again after this time.
@@ -90,7 +90,8 @@
 
     /// The VMs that published themselves, this one included.
     pub(crate) fn member_count(&self) -> usize {
-        let others = self.members.borrow().values().filter(|member| member.vm != self.own.vm).count();
+        let others =
+            self.members.borrow().values().filter(|member| member.vm != self.own.vm).count();
         others + 1
     }
 
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -4,7 +4,7 @@
 //! wait.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +15,8 @@
 use crate::clock::monotonic;
 use crate::configuration::KeyHash;
 use crate::gateway::board::{
-    PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotRefusal, SlotUse, SlotWaiter,
+    BATCH_INTERVAL, PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotRefusal,
+    SlotUse, SlotWaiter,
 };
 use crate::gateway::catalog::{GatewayConfig, GatewayWorkspace, RouteCatalog};
 use crate::gateway::connections::{ConnectionPool, SendError};
@@ -31,7 +32,7 @@
 use crate::gateway::quota::QuotaLedger;
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::transport::{TargetReply, TargetTransport};
-use crate::ids::{DataCentreId, TargetId, VmId};
+use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
 use crate::platform::rows::RowStore;
 use crate::scheduling::RequestClass;
 
@@ -80,6 +81,8 @@
     listing: RefCell<TargetListing>,
     closed: RefCell<ClosedListing>,
     waiters: RefCell<HashMap<SlotWaiter, oneshot::Sender<Result<SlotLease, SlotRefusal>>>>,
+    yieldable: RefCell<BTreeMap<u64, YieldableSlot>>,
+    next_lease: Cell<u64>,
     wake: Notify,
     heard_store: Rc<Cell<Option<Duration>>>,
     store_clock: Cell<Option<(Duration, Duration)>>,
@@ -93,6 +96,15 @@
     target: TargetId,
     class: RequestClass,
     usage: SlotUse,
+    /// Identifies a batch item's slot among those that may have to yield.
+    yieldable: Option<u64>,
+}
+
+/// A slot of a batch item that may have to yield.
+struct YieldableSlot {
+    service: ServiceName,
+    order: Duration,
+    yields: oneshot::Sender<()>,
 }
 
 impl SlotLease {
@@ -100,6 +112,27 @@
         &self.target
     }
 
+    /// Lists a batch item's slot among those that may have to yield.
+    fn yielding(mut self, service: ServiceName, order: Duration) -> Self {
+        if self.class == RequestClass::Batch {
+            let number = self.core.next_lease.get();
+            self.core.next_lease.set(number + 1);
+            let (yields, _) = oneshot::channel();
+            let slot = YieldableSlot { service, order, yields };
+            self.core.yieldable.borrow_mut().insert(number, slot);
+            self.yieldable = Some(number);
+        }
+        self
+    }
+
+    /// A signal that tells when the slot is needed for an online request. Online requests never yield.
+    pub(crate) fn watch_yield(&self) -> Option<oneshot::Receiver<()>> {
+        let number = self.yieldable?;
+        let (sender, receiver) = oneshot::channel();
+        self.core.yieldable.borrow_mut().get_mut(&number)?.yields = sender;
+        Some(receiver)
+    }
+
     pub(crate) fn release(mut self, usage: SlotUse) {
         self.usage = usage;
     }
@@ -107,6 +140,9 @@
 
 impl Drop for SlotLease {
     fn drop(&mut self) {
+        if let Some(number) = self.yieldable {
+            self.core.yieldable.borrow_mut().remove(&number);
+        }
         let now = monotonic();
         self.core.board.borrow_mut().release(now, &self.target, self.class, self.usage);
         self.core.advance();
@@ -169,6 +205,8 @@
             listing: RefCell::default(),
             closed: RefCell::default(),
             waiters: RefCell::default(),
+            yieldable: RefCell::default(),
+            next_lease: Cell::new(0),
             wake: Notify::new(),
             heard_store: Rc::default(),
             store_clock: Cell::default(),
@@ -179,6 +217,7 @@
         core.spawn_peering();
         core.spawn_jobs();
         tokio::task::spawn_local(advance_waiting(Rc::clone(&core)));
+        tokio::task::spawn_local(balance(Rc::clone(&core)));
         tokio::task::spawn_local(expire(Rc::clone(&core)));
         log::info!(vm = core.settings.vm.as_str(), incarnation = incarnation; "gateway started");
         Ok(Self { core })
@@ -189,7 +228,10 @@
     /// # Errors
     ///
     /// Why no target answered.
-    pub async fn forward(&self, request: ForwardedRequest) -> Result<ForwardAnswer, GatewayRefusal> {
+    pub async fn forward(
+        &self,
+        request: ForwardedRequest,
+    ) -> Result<ForwardAnswer, GatewayRefusal> {
         let _running = self.core.count_running();
         let id = request.id.clone();
         let received_at = request.received_at;
@@ -329,7 +371,11 @@
         self.board.borrow().target(id).cloned()
     }
 
-    pub(crate) fn follow(self: &Rc<Self>, table: &'static str, parts: Vec<String>) -> TableFollower {
+    pub(crate) fn follow(
+        self: &Rc<Self>,
+        table: &'static str,
+        parts: Vec<String>,
+    ) -> TableFollower {
         TableFollower::open(self, table, parts, Rc::clone(&self.heard_store))
     }
 
@@ -414,10 +460,13 @@
 
     /// Takes a slot, waiting for one if need be.
     pub(crate) async fn acquire(self: &Rc<Self>, need: SlotNeed) -> Result<SlotLease, SlotRefusal> {
-        let class = need.class;
+        let (class, order) = (need.class, need.order);
+        let service = need.service.clone();
         let outcome = self.board.borrow_mut().request(monotonic(), need);
         let waiter = match outcome {
-            PlacementOutcome::Placed(target) => return Ok(self.lease(target, class)),
+            PlacementOutcome::Placed(target) => {
+                return Ok(self.lease(target, class).yielding(service, order));
+            }
             PlacementOutcome::Refused(refusal) => return Err(refusal),
             PlacementOutcome::Waiting(waiter) => waiter,
         };
@@ -426,11 +475,19 @@
         self.wake.notify_one();
         let _guard = WaitGuard { core: Rc::clone(self), waiter };
         let decided = receiver.await;
-        decided.unwrap_or_else(|_| unreachable!("waiters are decided or removed by their guard"))
+        let decided = decided
+            .unwrap_or_else(|_| unreachable!("waiters are decided or removed by their guard"));
+        Ok(decided?.yielding(service, order))
     }
 
     fn lease(self: &Rc<Self>, target: TargetId, class: RequestClass) -> SlotLease {
-        SlotLease { core: Rc::clone(self), target, class, usage: SlotUse::Cancelled }
+        SlotLease {
+            core: Rc::clone(self),
+            target,
+            class,
+            usage: SlotUse::Cancelled,
+            yieldable: None,
+        }
     }
 
     /// Places waiting requests.
@@ -449,6 +506,26 @@
         }
     }
 
+    /// Has batch items yield to online requests, those due last first, and lets others start.
+    fn balance_batch(self: &Rc<Self>) {
+        let yielding = self.board.borrow_mut().balance_batch(monotonic());
+        for (service, count) in yielding {
+            let mut slots = self.yieldable.borrow_mut();
+            let own = slots.iter().filter(|(_, slot)| slot.service == service);
+            let mut own: Vec<(Duration, u64)> =
+                own.map(|(number, slot)| (slot.order, *number)).collect();
+            own.sort_unstable();
+            for (_, number) in own.into_iter().rev().take(count as usize) {
+                if let Some(slot) = slots.remove(&number) {
+                    self.metrics.count("item", "yielded");
+                    // An item that is not running yet goes on; its next one waits.
+                    let _ = slot.yields.send(());
+                }
+            }
+        }
+        self.advance();
+    }
+
     /// Takes the report of another VM.
     pub(crate) fn take_report(self: &Rc<Self>, vm: &VmId, report: &LoadReport) {
         let now = monotonic();
@@ -508,7 +585,12 @@
         );
     }
 
-    pub(crate) fn log_break(&self, admitted: &AdmittedRequest, attempt: &RunningAttempt, reason: &str) {
+    pub(crate) fn log_break(
+        &self,
+        admitted: &AdmittedRequest,
+        attempt: &RunningAttempt,
+        reason: &str,
+    ) {
         self.metrics.count("attempt", "broken_off");
         log::info!(
             id = &*admitted.request.id, target_id = attempt.lease.target().as_str(), reason = reason;
@@ -543,6 +625,13 @@
     }
 }
 
+async fn balance(core: Rc<GatewayCore>) {
+    loop {
+        tokio::time::sleep(BATCH_INTERVAL).await;
+        core.balance_batch();
+    }
+}
+
 async fn expire(core: Rc<GatewayCore>) {
     loop {
         tokio::time::sleep(EXPIRY_TICK).await;
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -36,8 +36,8 @@
     JobSubmission, ListedResult, LoadReport, OperatorRecord, PlacementBoard, PlacementOutcome,
     PlatformDialect, PooledAnswer, PooledBody, PromptPart, QuotaLedger, RefusalReason, ReplyBody,
     ReplyMeaning, ReportedLoad, RequestId, RouteBackend, RouteCatalog, RouteClass, RouteMiss,
-    SendError, ServiceProfile, ServingTarget, SlotNeed, SlotRefusal, SlotUse, SlotWaiter, SpentQuota,
-    StreamEvent, TargetAttempt, TargetReply, TargetTransport, TokenDemand,
+    SendError, ServiceProfile, ServingTarget, SlotNeed, SlotRefusal, SlotUse, SlotWaiter,
+    SpentQuota, StreamEvent, TargetAttempt, TargetReply, TargetTransport, TokenDemand,
     open_decision_log,
 };
 pub use ids::{
