--- a/crates/ebonydock/src/gateway/board.rs
+++ b/crates/ebonydock/src/gateway/board.rs
@@ -144,9 +144,12 @@
     }
 
     fn is_usable(&self, now: Duration, closed: &HashSet<DataCentreId>) -> bool {
-        !self.gone && !self.target.leaving && !closed.contains(&self.target.data_centre)
-            // Once suspected, one request at a time shows whether the target is back.
-            && (self.failures == 0 || (now >= self.suspect_until && self.online + self.batch == 0))
+        // Once suspected, one request at a time shows whether the target is back.
+        let is_trusted = self.failures == 0 || self.online + self.batch == 0;
+        !self.gone
+            && !self.target.leaving
+            && !closed.contains(&self.target.data_centre)
+            && is_trusted
             && now >= self.suspect_until
     }
 }
--- a/crates/ebonydock/src/gateway/catalog.rs
+++ b/crates/ebonydock/src/gateway/catalog.rs
@@ -221,8 +221,8 @@
         let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
         let prefixes = self.hosts.get(&host)?;
         let path = path.split('?').next().unwrap_or(path);
-        let ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
-        ends.filter_map(|end| prefixes.get(&path[..end])).next()
+        let mut ends = path.rmatch_indices('/').map(|(index, _)| index + 1);
+        ends.find_map(|end| prefixes.get(&path[..end]))
     }
 
     /// A route by its name.
--- a/crates/ebonydock/src/gateway/connections.rs
+++ b/crates/ebonydock/src/gateway/connections.rs
@@ -21,7 +21,7 @@
 /// Opening a connection within a data centre takes milliseconds; longer means that the target is away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Unacknowledged bytes mean that the path is cut; connections may go silent without a reset.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(2000);
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Probes of a connection on which an answer is awaited.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 const PROBE_COUNT: u32 = 2;
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -13,8 +13,8 @@
 use crate::gateway::catalog::{ForwardRoute, RouteCatalog, RouteMiss};
 use crate::gateway::connections::SendError;
 use crate::gateway::events::EventSplitter;
-use crate::gateway::request::ForwardedRequest;
-use crate::gateway::runtime::{GatewayCore, SlotLease};
+use crate::gateway::request::{ForwardedRequest, TokenDemand};
+use crate::gateway::runtime::{GatewayCore, RunningCount, SlotLease};
 use crate::gateway::transport::{ReplyMeaning, TargetAttempt, TargetReply};
 use crate::ids::{ServiceName, TargetId, WorkspaceId};
 use crate::scheduling::RequestClass;
@@ -239,7 +239,7 @@
                 Ok(reply) if reply.meaning == ReplyMeaning::Ran => {
                     return Ok(RunningAttempt { reply, lease });
                 }
-                Ok(reply) => self.count_unrun(lease, &reply, log),
+                Ok(reply) => Self::count_unrun(lease, &reply, log),
                 Err(SendError::NotSent(_)) => {
                     log.runs -= 1;
                     log.unrun += 1;
@@ -255,7 +255,7 @@
         }
     }
 
-    fn count_unrun(&self, lease: SlotLease, reply: &TargetReply, log: &mut AttemptLog) {
+    fn count_unrun(lease: SlotLease, reply: &TargetReply, log: &mut AttemptLog) {
         let usage = match reply.meaning {
             ReplyMeaning::NotRun => SlotUse::Full,
             ReplyMeaning::Misdirected => SlotUse::Misdirected,
@@ -297,7 +297,8 @@
         };
         let pump = StreamPump {
             core: Rc::clone(self),
-            admitted: AdmittedRequest { request: admitted.request.clone(), ..admitted.copy() },
+            _running: self.count_running(),
+            admitted: admitted.copy(),
             log: std::mem::take(log),
             last_event: admitted.request.last_event,
             splitter: EventSplitter::default(),
@@ -354,7 +355,9 @@
     ) -> AnswerBody {
         let (parts, receiver) = mpsc::channel(BODY_QUEUE);
         let ends_at = admitted.ends_at;
+        let running = self.count_running();
         tokio::task::spawn_local(async move {
+            let _running = running;
             let RunningAttempt { reply, lease } = attempt;
             let mut body = reply.body;
             let mut part = Some(Ok(first));
@@ -394,7 +397,7 @@
 }
 
 fn need_of(admitted: &AdmittedRequest, log: &AttemptLog, place_by: Duration) -> SlotNeed {
-    let prefix = admitted.request.demand.as_ref().and_then(|demand| demand.shared_prefix());
+    let prefix = admitted.request.demand.as_ref().and_then(TokenDemand::shared_prefix);
     // A request that failed once is late already; it is placed as long as its caller waits.
     let place_by = if log.runs + log.unrun as u32 > 0 { admitted.ends_at } else { place_by };
     SlotNeed {
@@ -439,6 +442,7 @@
 /// Passes the events of a stream on and resumes it at another target when it breaks.
 struct StreamPump {
     core: Rc<GatewayCore>,
+    _running: RunningCount,
     admitted: AdmittedRequest,
     log: AttemptLog,
     last_event: Option<u64>,
--- a/crates/ebonydock/src/gateway/job_lead.rs
+++ b/crates/ebonydock/src/gateway/job_lead.rs
@@ -394,7 +394,7 @@
         match (decode(value), partials.get_mut(*index)) {
             (Ok(partial), Some(slot)) => *slot = partial,
             (Err(reason), _) => {
-                log::error!(item_index = *index as u64, reason = reason; "partial output unreadable")
+                log::error!(item_index = *index as u64, reason = reason; "partial output unreadable");
             }
             (Ok(_), None) => {}
         }
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -44,7 +44,7 @@
 /// Rows of one transaction.
 const TRANSACTION_BYTES: usize = 700_000;
 /// Jobs are deleted this long after the time for which their results must be kept.
-const DELETE_MARGIN: Duration = Duration::from_secs(60);
+const DELETE_MARGIN: Duration = Duration::from_mins(1);
 const SWEEP_INTERVAL: Duration = Duration::from_secs(20);
 /// Rows that one transaction deletes.
 const DELETE_ROWS: usize = 90;
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -29,7 +29,7 @@
 /// Unchanged load is reported this often, several times within the lifetime of a report.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// A VM that cannot be reached is tried again after this time.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(1000);
+const RECONNECT_PAUSE: Duration = Duration::from_secs(1);
 const PUBLISH_PAUSE: Duration = Duration::from_millis(300);
 
 /// What a VM publishes of itself.
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -42,6 +42,9 @@
 /// Reports of other VMs and lapsed targets expire by this tick.
 const EXPIRY_TICK: Duration = Duration::from_millis(200);
 const STOP_TICK: Duration = Duration::from_millis(50);
+/// A stopping VM goes on serving until nothing has run for this long, so that the last bytes of answers
+/// are on their way.
+const QUIET_BEFORE_STOP: Duration = Duration::from_millis(300);
 
 /// The settings of a gateway.
 #[derive(Clone, Debug)]
@@ -56,6 +59,8 @@
     pub results_kept: Duration,
     /// A planned stop waits this long for running requests.
     pub stop_within: Duration,
+    /// The balancer sends new connections for this long after a VM has turned not ready.
+    pub balancer_notice: Duration,
 }
 
 /// A running gateway. Clones share it.
@@ -165,7 +170,7 @@
 }
 
 /// Counts a request as running until it is dropped.
-struct RunningCount(Rc<GatewayCore>);
+pub(crate) struct RunningCount(Rc<GatewayCore>);
 
 impl Drop for RunningCount {
     fn drop(&mut self) {
@@ -340,7 +345,17 @@
         let began = monotonic();
         log::info!(running = core.running.get() as u64; "gateway stopping");
         core.hand_on_jobs().await;
-        while core.running.get() > 0 && monotonic() < began + core.settings.stop_within {
+        let mut busy_at = began;
+        loop {
+            let now = monotonic();
+            if core.running.get() > 0 {
+                busy_at = now;
+            }
+            let noticed = now >= began + core.settings.balancer_notice;
+            let quiet = now >= busy_at + QUIET_BEFORE_STOP;
+            if (noticed && quiet) || now >= began + core.settings.stop_within {
+                break;
+            }
             tokio::time::sleep(STOP_TICK).await;
         }
         core.unpublish().await;
@@ -350,7 +365,7 @@
 }
 
 impl GatewayCore {
-    fn count_running(self: &Rc<Self>) -> RunningCount {
+    pub(crate) fn count_running(self: &Rc<Self>) -> RunningCount {
         self.running.set(self.running.get() + 1);
         RunningCount(Rc::clone(self))
     }
