--- a/crates/ebonydock/src/gateway/board.rs
+++ b/crates/ebonydock/src/gateway/board.rs
@@ -22,6 +22,9 @@
 const PREFIX_LIMIT: usize = 4096;
 /// The part of a service's slots that batch items leave free for online requests.
 const ONLINE_RESERVE: f64 = 0.12;
+/// What items that would else be late leave free: enough for the requests that arrive until the next
+/// look at the fleet.
+const URGENT_RESERVE: f64 = 0.06;
 /// Batch items start again when this much more is free, so that they do not start just to yield.
 const BATCH_MARGIN: f64 = 0.04;
 /// Yielding and starting of batch is decided this often: the effect of the other VMs' last decision has
@@ -80,6 +83,9 @@
     pub order: Duration,
     /// It is refused if it is not placed by then.
     pub place_by: Duration,
+    /// From then on a batch item may use what others leave free for online requests, because it would
+    /// be late otherwise. `None` for online requests and for items that are late already.
+    pub urgent_at: Option<Duration>,
 }
 
 /// A request that waits for a target.
@@ -95,6 +101,24 @@
     pub has_targets: bool,
 }
 
+impl SlotNeed {
+    /// Whether it is a batch item that would else be late.
+    pub fn is_urgent(&self, now: Duration) -> bool {
+        self.urgent_at.is_some_and(|at| now >= at)
+    }
+}
+
+/// How many batch items of this VM yield.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BatchExcess {
+    /// The service.
+    pub service: ServiceName,
+    /// Items that yield, urgent ones after all others.
+    pub items: u32,
+    /// Of these, the urgent ones that may have to yield.
+    pub urgent: u32,
+}
+
 /// What became of a request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlacementOutcome {
@@ -205,6 +229,11 @@
     batch: u32,
 }
 
+/// Online requests go before batch items of any rank.
+fn class_order(class: RequestClass) -> u8 {
+    u8::from(class == RequestClass::Batch)
+}
+
 /// Rounds up or down so that the mean is exact: the shares of many VMs add up to the whole.
 fn round_randomly(value: f64) -> u32 {
     (value + rand::random::<f64>()).floor() as u32
@@ -414,9 +443,13 @@
         (f64::from(usage.all) * ONLINE_RESERVE).max(f64::from(self.waiting_anywhere()))
     }
 
+    fn urgent_reserve(&self, usage: &ServiceUsage) -> f64 {
+        (f64::from(usage.all) * URGENT_RESERVE).max(f64::from(self.waiting_anywhere()))
+    }
+
     /// Decides for each service how many batch items of this VM yield, and how many may start until the
     /// next decision. Both are this VM's share of what the whole fleet has too many or too few.
-    pub fn balance_batch(&mut self, now: Duration) -> Vec<(ServiceName, u32)> {
+    pub fn balance_batch(&mut self, now: Duration) -> Vec<BatchExcess> {
         let mut yielding = Vec::new();
         let services: Vec<ServiceName> = self.queues.keys().cloned().collect();
         for service in services {
@@ -429,9 +462,11 @@
                 queue.batch_allowance = allowance;
             }
             let share = f64::from(usage.own_batch) / f64::from(usage.batch.max(1));
-            let excess = round_randomly((-room).max(0.0) * share).min(usage.own_batch);
-            if excess > 0 {
-                yielding.push((service, excess));
+            let items = round_randomly((-room).max(0.0) * share).min(usage.own_batch);
+            let urgent_room = f64::from(usage.free) - self.urgent_reserve(&usage);
+            let urgent = round_randomly((-urgent_room).max(0.0) * share).min(items);
+            if items > 0 {
+                yielding.push(BatchExcess { service, items, urgent });
             }
         }
         yielding
@@ -451,8 +486,9 @@
     pub fn request(&mut self, now: Duration, need: SlotNeed) -> PlacementOutcome {
         let queue = self.queues.get(&need.service);
         let ahead = queue.map_or(0, |queue| {
-            let before = |waiter: &&Waiter| waiter.need.rank <= need.rank;
-            queue.waiters.values().filter(before).count()
+            let class = class_order(need.class);
+            let keys = queue.waiters.keys();
+            keys.take_while(|key| (key.0, key.1) <= (class, need.rank)).count()
         });
         if ahead == 0
             && let Some(target) = self.place(now, &need)
@@ -469,8 +505,7 @@
         }
         self.sequence += 1;
         let id = SlotWaiter(self.sequence);
-        let class = u8::from(need.class == RequestClass::Batch);
-        let key = (class, need.rank, need.order, self.sequence);
+        let key = (class_order(need.class), need.rank, need.order, self.sequence);
         queue.waiters.insert(key, Waiter { id, need });
         PlacementOutcome::Waiting(id)
     }
@@ -527,8 +562,8 @@
     }
 
     fn place(&mut self, now: Duration, need: &SlotNeed) -> Option<TargetId> {
-        if need.class == RequestClass::Batch {
-            self.queues.get(&need.service).filter(|queue| queue.batch_allowance > 0)?;
+        if need.class == RequestClass::Batch && !self.may_start_batch(now, need) {
+            return None;
         }
         let id = self.choose(now, need)?;
         let cold_rate = self.cold_rate(&need.service);
@@ -549,6 +584,18 @@
         Some(id)
     }
 
+    fn may_start_batch(&self, now: Duration, need: &SlotNeed) -> bool {
+        let queue = self.queues.get(&need.service);
+        if queue.is_some_and(|queue| queue.batch_allowance > 0) {
+            return true;
+        }
+        if !need.is_urgent(now) {
+            return false;
+        }
+        let usage = self.usage(now, &need.service);
+        f64::from(usage.free) > self.urgent_reserve(&usage)
+    }
+
     fn cold_rate(&self, service: &ServiceName) -> f64 {
         self.cold_rates.get(service).copied().unwrap_or(0.0) / self.fleet_size as f64
     }
--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -16,8 +16,9 @@
 const FEED_WAIT: Duration = Duration::from_secs(8);
 /// Pauses after failed calls: the first one, doubled up to the longest one.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
-/// Targets whose entries lapsed while the store was away register again within two seconds.
-const RETURN_GRACE: Duration = Duration::from_millis(2200);
+/// Targets whose entries lapsed while the store was away register again within two seconds. A target
+/// that left just then may be sent requests for as long, so the grace ends sooner.
+const RETURN_GRACE: Duration = Duration::from_millis(1700);
 
 /// What a row of the operators' table says.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -56,6 +56,8 @@
 pub enum RefusalReason {
     /// The VM knows no configuration yet.
     NotConfigured,
+    /// The VM is about to stop.
+    Stopping,
     /// No route has this host and path.
     NoRoute,
     /// The key is missing or unknown.
@@ -82,6 +84,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotConfigured => "not_configured",
+            Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::BadKey => "bad_key",
             Self::OverQuota => "over_quota",
@@ -119,6 +122,10 @@
     pub(crate) config_version: u64,
     /// The caller has left by then, or the route's time is over.
     pub(crate) ends_at: Duration,
+    /// Requests of a class and rank are placed in this order.
+    pub(crate) order: Duration,
+    /// When a batch item begins to be urgent.
+    pub(crate) urgent_at: Option<Duration>,
 }
 
 impl AdmittedRequest {
@@ -160,6 +167,9 @@
     }
 
     fn admit(&self, request: ForwardedRequest) -> Result<AdmittedRequest, GatewayRefusal> {
+        if self.is_refusing() {
+            return Err(GatewayRefusal::of(RefusalReason::Stopping));
+        }
         let catalog = self.catalog().ok_or(GatewayRefusal::of(RefusalReason::NotConfigured))?;
         let found = catalog.find(&request.host, &request.path, request.key.as_ref());
         let found = found.map_err(|miss| match miss {
@@ -178,6 +188,8 @@
             request.patience.map_or(found.route.timeout, |left| left.min(found.route.timeout));
         Ok(AdmittedRequest {
             ends_at: request.received_at + limit,
+            order: request.received_at,
+            urgent_at: None,
             service,
             workspace: found.workspace.map(|workspace| workspace.name.clone()),
             class: RequestClass::Online,
@@ -406,8 +418,9 @@
         rank: admitted.rank,
         prefix,
         excluded: log.excluded.clone(),
-        order: admitted.request.received_at,
+        order: admitted.order,
         place_by,
+        urgent_at: admitted.urgent_at,
     }
 }
 
--- a/crates/ebonydock/src/gateway/job_lead.rs
+++ b/crates/ebonydock/src/gateway/job_lead.rs
@@ -31,6 +31,13 @@
 const ITEM_SILENCE: Duration = Duration::from_millis(1500);
 /// Pause before a commit that was not answered is sent again.
 const COMMIT_PAUSE: Duration = Duration::from_millis(150);
+/// An item is urgent when less time is left than this many times what it still takes: it will have to
+/// yield now and then.
+const URGENT_FACTOR: f64 = 1.6;
+/// Puts late items behind all that can still be on time.
+const LATE_PENALTY: Duration = Duration::from_hours(1);
+/// A late item is tried first again in the last part of the time for which it is kept.
+const LAST_CHANCE: Duration = Duration::from_secs(15);
 /// Results of one commit; a transaction takes at most 1 MB and 100 rows.
 const COMMIT_RESULTS: usize = 30;
 const COMMIT_BYTES: usize = 500_000;
@@ -143,6 +150,9 @@
         }
         let transaction = transaction.write(JOB_TABLE, &self.job.progress_key(), encode(&progress));
         let Some(version) = self.write(&transaction, progress.attempt).await else { return false };
+        for result in &results {
+            self.partials.borrow_mut()[result.index as usize] = PartialOutput::default();
+        }
         let first = self.entry.progress.listed;
         self.entry.progress = progress;
         self.entry.progress_version = version;
@@ -240,8 +250,8 @@
             if status.is_success() && attempt.reply.has_events {
                 match self.collect(attempt).await {
                     RunEnd::Complete => {
-                        let text = self.with_partial(|partial| std::mem::take(&mut partial.text));
-                        return ItemOutcome::Completed(text);
+                        // Kept until it is listed: a lead that stops before hands it on.
+                        return ItemOutcome::Completed(self.with_partial(|p| p.text.clone()));
                     }
                     RunEnd::Yielded => {}
                     RunEnd::Broken(reason) => {
@@ -273,7 +283,24 @@
         }
     }
 
+    /// The order among waiting items and the time from which the item is urgent. The next one due goes
+    /// first; late items go after those that can still be on time, until they are about to be given up.
+    fn order(&self, keep_until: Duration) -> (Duration, Option<Duration>) {
+        let now = monotonic();
+        let due_at = self.core.local_time(self.head.due_at);
+        if now + LAST_CHANCE >= keep_until {
+            return (Duration::ZERO, None);
+        }
+        if now >= due_at {
+            return (due_at + LATE_PENALTY, None);
+        }
+        let events = self.with_partial(|partial| partial.last_event.unwrap_or(0));
+        let left = self.core.jobs.item_time(events);
+        (due_at, Some(due_at.saturating_sub(left.mul_f64(URGENT_FACTOR))))
+    }
+
     fn admit(&self, keep_until: Duration) -> Option<AdmittedRequest> {
+        let (order, urgent_at) = self.order(keep_until);
         let catalog = self.core.catalog()?;
         let route = catalog.route_named(&self.head.route)?;
         let service = RouteCatalog::pick_service(route, rand::random())?.clone();
@@ -291,8 +318,7 @@
                 body: item.body.clone().into(),
                 key: None,
                 patience: None,
-                // The order among waiting items: the next one due goes first.
-                received_at: self.core.local_time(self.head.due_at),
+                received_at: monotonic(),
                 demand: Some(item.demand.clone()),
                 last_event: None,
             },
@@ -303,6 +329,8 @@
             rank: route.rank,
             config_version: catalog.version(),
             ends_at: keep_until,
+            order,
+            urgent_at,
         })
     }
 
@@ -312,6 +340,7 @@
         let mut body = reply.body;
         let mut splitter = EventSplitter::default();
         let mut yields = lease.watch_yield();
+        let began = (monotonic(), self.with_partial(|partial| partial.last_event.unwrap_or(0)));
         let end = loop {
             let part = tokio::select! {
                 part = tokio::time::timeout(ITEM_SILENCE, body.next()) => part,
@@ -331,6 +360,10 @@
             }
         };
         drop(body);
+        let last_event = self.with_partial(|partial| partial.last_event.unwrap_or(0));
+        let took = monotonic().saturating_sub(began.0);
+        let complete = matches!(end, RunEnd::Complete);
+        self.core.jobs.learn_run(last_event, last_event.saturating_sub(began.1), took, complete);
         lease.release(match end {
             RunEnd::Complete => SlotUse::Answered,
             RunEnd::Yielded => SlotUse::Cancelled,
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -1,6 +1,6 @@
 //! The calls of batch jobs, and which VM leads which job.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -166,9 +166,50 @@
     silent_since: RefCell<HashMap<JobName, Duration>>,
     cache: RefCell<ResultCache>,
     inputs: RefCell<HashMap<JobName, Rc<Vec<JobItem>>>>,
+    pace: Cell<ItemPace>,
     changed: Notify,
 }
 
+/// How fast items run, learned from those that did.
+#[derive(Clone, Copy, Debug)]
+struct ItemPace {
+    events: f64,
+    event_s: f64,
+}
+
+impl Default for ItemPace {
+    fn default() -> Self {
+        // A first guess that counts for the first few items only.
+        Self { events: 150.0, event_s: 0.03 }
+    }
+}
+
+/// The weight of the newest item in what is learned.
+const PACE_WEIGHT: f64 = 0.1;
+/// An item takes at least this part of a whole one more, since its length is not known.
+const LEAST_LEFT: f64 = 0.15;
+
+impl JobDesk {
+    /// The time that an item with so many events still takes.
+    pub(crate) fn item_time(&self, events: u64) -> Duration {
+        let pace = self.pace.get();
+        let left = (pace.events - events as f64).max(pace.events * LEAST_LEFT);
+        Duration::try_from_secs_f64(left * pace.event_s).unwrap_or_default()
+    }
+
+    /// Learns from a run of an item that made `made` of its `events` events.
+    pub(crate) fn learn_run(&self, events: u64, made: u64, took: Duration, complete: bool) {
+        let mut pace = self.pace.get();
+        if made > 0 {
+            pace.event_s += PACE_WEIGHT * (took.as_secs_f64() / made as f64 - pace.event_s);
+        }
+        if complete {
+            pace.events += PACE_WEIGHT * (events as f64 - pace.events);
+        }
+        self.pace.set(pace);
+    }
+}
+
 impl GatewayCore {
     /// Follows the jobs and looks after their leads.
     pub(crate) fn spawn_jobs(self: &Rc<Self>) {
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -29,7 +29,8 @@
 mod transport;
 
 pub use board::{
-    PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotRefusal, SlotUse, SlotWaiter,
+    BatchExcess, PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotRefusal, SlotUse,
+    SlotWaiter,
 };
 pub use catalog::{
     BatchTerms, CallerLimits, ForwardRoute, GatewayConfig, GatewayWorkspace, RouteBackend,
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -92,7 +92,8 @@
     heard_store: Rc<Cell<Option<Duration>>>,
     store_clock: Cell<Option<(Duration, Duration)>>,
     running: Cell<usize>,
-    stopping: Cell<bool>,
+    /// When a planned stop began.
+    stopping_since: Cell<Option<Duration>>,
 }
 
 /// A slot of a target. Dropping it counts as a cancelled request.
@@ -109,6 +110,7 @@
 struct YieldableSlot {
     service: ServiceName,
     order: Duration,
+    urgent_at: Option<Duration>,
     yields: oneshot::Sender<()>,
 }
 
@@ -118,12 +120,17 @@
     }
 
     /// Lists a batch item's slot among those that may have to yield.
-    fn yielding(mut self, service: ServiceName, order: Duration) -> Self {
+    fn yielding(mut self, need: &SlotNeed) -> Self {
         if self.class == RequestClass::Batch {
             let number = self.core.next_lease.get();
             self.core.next_lease.set(number + 1);
             let (yields, _) = oneshot::channel();
-            let slot = YieldableSlot { service, order, yields };
+            let slot = YieldableSlot {
+                service: need.service.clone(),
+                order: need.order,
+                urgent_at: need.urgent_at,
+                yields,
+            };
             self.core.yieldable.borrow_mut().insert(number, slot);
             self.yieldable = Some(number);
         }
@@ -216,7 +223,7 @@
             heard_store: Rc::default(),
             store_clock: Cell::default(),
             running: Cell::new(0),
-            stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
         });
         core.spawn_followers();
         core.spawn_peering();
@@ -341,8 +348,8 @@
     /// time for stopping is over.
     pub async fn stop(&self) {
         let core = &self.core;
-        core.stopping.set(true);
         let began = monotonic();
+        core.stopping_since.set(Some(began));
         log::info!(running = core.running.get() as u64; "gateway stopping");
         core.hand_on_jobs().await;
         let mut busy_at = began;
@@ -371,7 +378,14 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stopping_since.get().is_some()
+    }
+
+    /// Whether the balancer knows that this VM is stopping. Callers that come all the same, over
+    /// connections that they kept, are served elsewhere.
+    pub(crate) fn is_refusing(&self) -> bool {
+        let since = self.stopping_since.get();
+        since.is_some_and(|since| monotonic() >= since + self.settings.balancer_notice)
     }
 
     pub(crate) fn catalog(&self) -> Option<Rc<RouteCatalog>> {
@@ -475,12 +489,11 @@
 
     /// Takes a slot, waiting for one if need be.
     pub(crate) async fn acquire(self: &Rc<Self>, need: SlotNeed) -> Result<SlotLease, SlotRefusal> {
-        let (class, order) = (need.class, need.order);
-        let service = need.service.clone();
-        let outcome = self.board.borrow_mut().request(monotonic(), need);
+        let class = need.class;
+        let outcome = self.board.borrow_mut().request(monotonic(), need.clone());
         let waiter = match outcome {
             PlacementOutcome::Placed(target) => {
-                return Ok(self.lease(target, class).yielding(service, order));
+                return Ok(self.lease(target, class).yielding(&need));
             }
             PlacementOutcome::Refused(refusal) => return Err(refusal),
             PlacementOutcome::Waiting(waiter) => waiter,
@@ -492,7 +505,7 @@
         let decided = receiver.await;
         let decided = decided
             .unwrap_or_else(|_| unreachable!("waiters are decided or removed by their guard"));
-        Ok(decided?.yielding(service, order))
+        Ok(decided?.yielding(&need))
     }
 
     fn lease(self: &Rc<Self>, target: TargetId, class: RequestClass) -> SlotLease {
@@ -523,14 +536,24 @@
 
     /// Has batch items yield to online requests, those due last first, and lets others start.
     fn balance_batch(self: &Rc<Self>) {
-        let yielding = self.board.borrow_mut().balance_batch(monotonic());
-        for (service, count) in yielding {
+        let now = monotonic();
+        let excesses = self.board.borrow_mut().balance_batch(now);
+        for excess in excesses {
             let mut slots = self.yieldable.borrow_mut();
-            let own = slots.iter().filter(|(_, slot)| slot.service == service);
-            let mut own: Vec<(Duration, u64)> =
-                own.map(|(number, slot)| (slot.order, *number)).collect();
+            let own = slots.iter().filter(|(_, slot)| slot.service == excess.service);
+            let mut own: Vec<(bool, std::cmp::Reverse<Duration>, u64)> = own
+                .map(|(number, slot)| {
+                    let urgent = slot.urgent_at.is_some_and(|at| now >= at);
+                    (urgent, std::cmp::Reverse(slot.order), *number)
+                })
+                .collect();
             own.sort_unstable();
-            for (_, number) in own.into_iter().rev().take(count as usize) {
+            let mut urgent_left = excess.urgent;
+            for (urgent, _, number) in own.into_iter().take(excess.items as usize) {
+                if urgent && urgent_left == 0 {
+                    break;
+                }
+                urgent_left -= u32::from(urgent);
                 if let Some(slot) = slots.remove(&number) {
                     self.metrics.count("item", "yielded");
                     // An item that is not running yet goes on; its next one waits.
--- a/crates/ebonydock/src/gateway/tests/board.rs
+++ b/crates/ebonydock/src/gateway/tests/board.rs
@@ -47,6 +47,7 @@
         excluded: Vec::new(),
         order: ms(received),
         place_by: ms(received + 210),
+        urgent_at: None,
     }
 }
 
@@ -243,8 +244,8 @@
         });
         if now % 40 == 0 {
             let yielding = board.balance_batch(ms(now));
-            for (_, count) in yielding.into_iter().filter(|_| yields) {
-                for _ in 0..count {
+            for excess in yielding.into_iter().filter(|_| yields) {
+                for _ in 0..excess.items {
                     let id = batch.pop().unwrap();
                     board.release(ms(now), &id, RequestClass::Batch, SlotUse::Cancelled);
                 }
@@ -303,6 +304,28 @@
     assert!((12..=14).contains(&started), "{started}");
 }
 
+/// The load that urgency answers: online keeps a fleet nearly full for long, and batch is due. What
+/// callers get is the items that run; online requests still find free slots.
+#[test]
+fn an_item_that_would_be_late_uses_what_is_kept_free() {
+    let mut board = board_of((0..5).map(|index| target(&format!("t{index}"), "a")).collect());
+    for _ in 0..35 {
+        placed(board.request(ms(0), online(0)));
+    }
+    let patient = SlotNeed { place_by: ms(60_000), ..need(RequestClass::Batch, 1) };
+    let urgent = SlotNeed { urgent_at: Some(ms(10)), order: ms(2), ..patient.clone() };
+    board.balance_batch(ms(0));
+    let patient = waiting(board.request(ms(0), patient));
+    let urgent: Vec<SlotWaiter> =
+        (0..9).map(|_| waiting(board.request(ms(0), urgent.clone()))).collect();
+    assert!(board.advance(ms(5)).is_empty());
+    let decided: Vec<SlotWaiter> =
+        board.advance(ms(10)).iter().map(|(waiter, ..)| *waiter).collect();
+    assert!(!decided.contains(&patient));
+    assert!(decided.len() >= 3 && decided.iter().all(|waiter| urgent.contains(waiter)));
+    placed(board.request(ms(11), online(11)));
+}
+
 proptest! {
     #[test]
     fn no_target_gets_more_than_its_slots(steps in prop::collection::vec((0_u8..4, 0_u64..30), 1..200)) {
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -255,6 +255,23 @@
     });
 }
 
+#[test]
+fn finished_items_that_could_not_be_listed_are_handed_on_whole() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetAct::Events(20, true)));
+        let first = site.gateway("vm1").await;
+        first.submit_job(submission("j1")).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        site.store.refuses.set(true);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        site.store.refuses.set(false);
+        first.stop().await;
+        let second = site.gateway("vm2").await;
+        let results = all_results(&second, "j1").await;
+        assert!(results.iter().all(|result| result.text == whole(20)), "{results:?}");
+    });
+}
+
 #[test]
 fn the_job_of_a_vm_that_restarted_goes_on() {
     run(async {
--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -240,6 +240,47 @@
     });
 }
 
+#[test]
+fn a_target_that_left_as_the_store_came_back_gets_nothing_after_its_notice() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetAct::Whole(200, "sent")));
+        let gateway = site.gateway("vm1").await;
+        site.store.refuses.set(true);
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        site.store.refuses.set(false);
+        // The follower tries again within 800 ms.
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        for target in ["t1", "t3"] {
+            site.store.remove("targets", target);
+        }
+        // A target may be sent requests for two seconds after its entry went.
+        tokio::time::sleep(Duration::from_millis(1950)).await;
+        for id in 0..6 {
+            read(gateway.forward(request(&format!("r{id}"), "/safe/1")).await).await;
+        }
+        let seen = site.targets.seen.borrow();
+        assert!(seen.iter().all(|attempt| attempt.target == "t2"), "{seen:?}");
+    });
+}
+
+#[test]
+fn a_stopping_vm_refuses_once_the_balancer_knows_and_ends_with_its_last_stream() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetAct::Events(100, true)));
+        let gateway = site.gateway("vm1").await;
+        let answer = gateway.forward(request("r1", "/chat/1")).await;
+        let stopping = gateway.clone();
+        let stopped = tokio::task::spawn_local(async move { stopping.stop().await });
+        // The balancer has noticed after 100 ms, but callers may keep their connections.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let refusal = gateway.forward(request("r2", "/chat/1")).await.err().unwrap();
+        assert_eq!(refusal.reason, RefusalReason::Stopping);
+        assert!(refusal.reason.is_not_run());
+        assert_eq!(read(answer).await, (events(1..=100), true));
+        tokio::time::timeout(Duration::from_secs(1), stopped).await.unwrap().unwrap();
+    });
+}
+
 #[test]
 fn a_leaving_or_unreadable_target_gets_nothing_more() {
     run(async {
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -30,15 +30,15 @@
     WorkspaceEntry,
 };
 pub use gateway::{
-    AnswerBody, BatchTerms, CallerLimits, ConnectionPool, EventSplitter, ForwardAnswer,
-    ForwardRoute, ForwardedRequest, Gateway, GatewayConfig, GatewayMetrics, GatewayRefusal,
-    GatewaySettings, GatewayWorkspace, JobAnswer, JobItem, JobRefusal, JobResultPage,
-    JobSubmission, ListedResult, LoadReport, OperatorRecord, PlacementBoard, PlacementOutcome,
-    PlatformDialect, PooledAnswer, PooledBody, PromptPart, QuotaLedger, RefusalReason, ReplyBody,
-    ReplyMeaning, ReportedLoad, RequestId, RouteBackend, RouteCatalog, RouteClass, RouteMiss,
-    SendError, ServiceProfile, ServingTarget, SlotNeed, SlotRefusal, SlotUse, SlotWaiter,
-    SpentQuota, StreamEvent, TargetAttempt, TargetReply, TargetTransport, TokenDemand,
-    open_decision_log,
+    AnswerBody, BatchExcess, BatchTerms, CallerLimits, ConnectionPool, EventSplitter,
+    ForwardAnswer, ForwardRoute, ForwardedRequest, Gateway, GatewayConfig, GatewayMetrics,
+    GatewayRefusal, GatewaySettings, GatewayWorkspace, JobAnswer, JobItem, JobRefusal,
+    JobResultPage, JobSubmission, ListedResult, LoadReport, OperatorRecord, PlacementBoard,
+    PlacementOutcome, PlatformDialect, PooledAnswer, PooledBody, PromptPart, QuotaLedger,
+    RefusalReason, ReplyBody, ReplyMeaning, ReportedLoad, RequestId, RouteBackend, RouteCatalog,
+    RouteClass, RouteMiss, SendError, ServiceProfile, ServingTarget, SlotNeed, SlotRefusal,
+    SlotUse, SlotWaiter, SpentQuota, StreamEvent, TargetAttempt, TargetReply, TargetTransport,
+    TokenDemand, open_decision_log,
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
