Jobs: output of running items is saved every two seconds; quotas give back what did not run

A job of a VM that had restarted waited 2.5 s for the others to take it over. Requests refused as not run stayed taken out of their workspace's quota. Ruled out: slots kept free for online (the items waited for slots only at the peaks); fewer yields. Change: a lead writes the output of its running items under the version of its head every 2 s; the next lead goes on from there. A lead that restarted counts as gone at once. A refusal that says not run gives its request back; what is reported to other VMs never goes back. Tests failed first: an_item_goes_on_near_where_it_was_when_its_lead_was_lost, a_refused_request_that_did_not_run_is_not_taken_from_the_quota.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -157,13 +157,20 @@
         request: ForwardedRequest,
     ) -> Result<ForwardAnswer, GatewayRefusal> {
         let admitted = self.admit(request)?;
+        let workspace = admitted.workspace.clone();
         let left = admitted.time_left();
         let mut log = AttemptLog::default();
         let answer = tokio::time::timeout(left, self.answer(admitted, &mut log)).await;
-        answer.unwrap_or_else(|_| {
+        let answer = answer.unwrap_or_else(|_| {
             let reason = if log.runs == 0 { RefusalReason::Busy } else { RefusalReason::TimedOut };
             Err(GatewayRefusal::of(reason))
-        })
+        });
+        if let (Err(refusal), Some(workspace)) = (&answer, &workspace)
+            && refusal.reason.is_not_run()
+        {
+            self.refund_quota(workspace);
+        }
+        answer
     }
 
     fn admit(&self, request: ForwardedRequest) -> Result<AdmittedRequest, GatewayRefusal> {
--- a/crates/ebonydock/src/gateway/job_lead.rs
+++ b/crates/ebonydock/src/gateway/job_lead.rs
@@ -38,6 +38,8 @@
 const LATE_PENALTY: Duration = Duration::from_hours(1);
 /// A late item is tried first again in the last part of the time for which it is kept.
 const LAST_CHANCE: Duration = Duration::from_secs(15);
+/// Output of running items is written this often, so that a lost lead costs about two seconds of each.
+const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(2);
 /// Results of one commit; a transaction takes at most 1 MB and 100 rows.
 const COMMIT_RESULTS: usize = 30;
 const COMMIT_BYTES: usize = 500_000;
@@ -110,7 +112,17 @@
         }
         drop(outcomes);
         let mut ready = Vec::new();
-        while let Some(outcome) = finished.recv().await {
+        let mut saved = vec![None; self.items.len()];
+        let mut checkpoints = tokio::time::interval(CHECKPOINT_INTERVAL);
+        loop {
+            let outcome = tokio::select! {
+                outcome = finished.recv() => outcome,
+                _ = checkpoints.tick() => {
+                    self.save_partials(&mut saved).await;
+                    continue;
+                }
+            };
+            let Some(outcome) = outcome else { break };
             ready.push(outcome);
             while let Ok(outcome) = finished.try_recv() {
                 ready.push(outcome);
@@ -125,6 +137,43 @@
         log::info!(job = self.job.as_str(), listed = self.entry.progress.listed; "job complete");
     }
 
+    /// Writes the output of items that went on since the last time. It is only worth having, so a write
+    /// that fails is not repeated.
+    async fn save_partials(&self, saved: &mut [Option<u64>]) {
+        let mut transaction = RowTransaction::in_part(&self.job.part()).expect(
+            JOB_TABLE,
+            &self.job.head_key(),
+            self.entry.head_version,
+        );
+        let mut bytes = 0;
+        let mut written = Vec::new();
+        for (index, partial) in self.partials.borrow().iter().enumerate() {
+            if partial.last_event.is_none() || partial.last_event == saved[index] {
+                continue;
+            }
+            bytes += partial.text.len();
+            if bytes > COMMIT_BYTES || written.len() >= COMMIT_RESULTS {
+                break;
+            }
+            let value = encode(partial);
+            transaction = write_chunks(transaction, PARTIAL_TABLE, &self.job, index, &value);
+            written.push((index, partial.last_event));
+        }
+        if written.is_empty() {
+            return;
+        }
+        match self.core.rows.transact(&transaction).await {
+            Ok(_) => {
+                for (index, last_event) in written {
+                    saved[index] = last_event;
+                }
+            }
+            Err(error) => {
+                log::info!(job = self.job.as_str(), error = error.to_string(); "output not saved");
+            }
+        }
+    }
+
     /// Lists some results; false if this VM leads the job no more.
     async fn commit(&mut self, ready: &mut Vec<(u32, ItemOutcome)>) -> bool {
         let mut bytes = 0;
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -285,7 +285,8 @@
         }
         let since = *self.jobs.silent_since.borrow_mut().entry(job.clone()).or_insert(now);
         // A lead that handed the job on or started anew runs it no more.
-        let gone = head.lead.is_empty() || own;
+        let restarted = self.peering.knows(&lead) && !published;
+        let gone = head.lead.is_empty() || own || restarted;
         if !gone && (now < since + LEAD_SILENCE || now < self.started_at + START_GRACE) {
             return false;
         }
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -101,6 +101,11 @@
         members.get(vm.as_str()).is_some_and(|member| member.incarnation == incarnation)
     }
 
+    /// Whether a VM is published with any incarnation.
+    pub(crate) fn knows(&self, vm: &VmId) -> bool {
+        self.members.borrow().contains_key(vm.as_str())
+    }
+
     fn take_news(&self, news: TableNews) {
         let rows = match news {
             TableNews::Snapshot(rows) => {
--- a/crates/ebonydock/src/gateway/quota.rs
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -20,6 +20,8 @@
     level: f64,
     updated_at: Duration,
     own_spent: u64,
+    /// Requests given back that no later spending has made up for: what is reported never goes back.
+    refunded: u64,
     reported: HashMap<VmId, u64>,
 }
 
@@ -36,6 +38,7 @@
             level: 0.0,
             updated_at: now,
             own_spent: 0,
+            refunded: 0,
             reported: HashMap::new(),
         })
     }
@@ -73,7 +76,11 @@
             return Err(wait.max(LEAST_RETRY));
         }
         bucket.level -= 1.0;
-        bucket.own_spent += 1;
+        if bucket.refunded > 0 {
+            bucket.refunded -= 1;
+        } else {
+            bucket.own_spent += 1;
+        }
         Ok(())
     }
 
@@ -81,7 +88,7 @@
     pub fn refund(&mut self, now: Duration, workspace: &WorkspaceId) {
         let bucket = self.bucket(workspace, now);
         bucket.level += 1.0;
-        bucket.own_spent = bucket.own_spent.saturating_sub(1);
+        bucket.refunded += 1;
     }
 
     /// Takes what another VM says that it has spent since its start.
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -32,7 +32,7 @@
 use crate::gateway::quota::QuotaLedger;
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::transport::{TargetReply, TargetTransport};
-use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::ids::{DataCentreId, ServiceName, TargetId, VmId, WorkspaceId};
 use crate::platform::rows::RowStore;
 use crate::scheduling::RequestClass;
 
@@ -487,6 +487,10 @@
         quotas.admit(now, &workspace.name, workspace.rate, workspace.burst, share)
     }
 
+    pub(crate) fn refund_quota(&self, workspace: &WorkspaceId) {
+        self.quotas.borrow_mut().refund(monotonic(), workspace);
+    }
+
     /// Takes a slot, waiting for one if need be.
     pub(crate) async fn acquire(self: &Rc<Self>, need: SlotNeed) -> Result<SlotLease, SlotRefusal> {
         let class = need.class;
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -289,6 +289,24 @@
     });
 }
 
+/// The load that checkpoints answer: all VMs are killed with items halfway.
+#[test]
+fn an_item_goes_on_near_where_it_was_when_its_lead_was_lost() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetAct::Events(600, true)));
+        let first = site.gateway("vm1").await;
+        first.submit_job(submission("j1")).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let second = site.gateway("vm1").await;
+        let results = all_results(&second, "j1").await;
+        assert!(results.iter().all(|result| result.text == whole(600)));
+        // The first items had made 400 events, and the last checkpoint is two seconds old at most.
+        let seen = site.targets.seen.borrow();
+        let near = seen.iter().filter(|attempt| attempt.resume_after > Some(150)).count();
+        assert!(near >= 4, "{seen:?}");
+    });
+}
+
 #[test]
 fn a_target_that_does_not_answer_costs_an_item_nothing_but_time() {
     run(async {
--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -297,6 +297,29 @@
     });
 }
 
+#[test]
+fn a_refused_request_that_did_not_run_is_not_taken_from_the_quota() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|seen, _| match seen.id.as_str() {
+            "r1" => TargetAct::NotRun,
+            _ => TargetAct::Whole(200, "sent"),
+        }));
+        let gateway = site.gateway("vm1").await;
+        let mut limited = site.dialect.configs.borrow()[0].clone();
+        limited.version = 4;
+        let workspace = &mut limited.workspaces.as_mut().unwrap()[0];
+        (workspace.rate, workspace.burst) = (0.01, 1.0);
+        site.configure(limited);
+        // One request is there after 100 s.
+        tokio::time::sleep(Duration::from_secs(150)).await;
+        let refusal = gateway.forward(request("r1", "/safe/1")).await.err().unwrap();
+        assert_ne!(refusal.reason, RefusalReason::OverQuota);
+        read(gateway.forward(request("r2", "/safe/1")).await).await;
+        let refusal = gateway.forward(request("r3", "/safe/1")).await.err().unwrap();
+        assert_eq!(refusal.reason, RefusalReason::OverQuota);
+    });
+}
+
 #[test]
 fn a_planned_stop_waits_for_streams() {
     run(async {
