--- a/crates/ebonydock/src/gateway/catalog.rs
+++ b/crates/ebonydock/src/gateway/catalog.rs
@@ -236,7 +236,7 @@
         self.workspaces.as_ref()?.get(index)
     }
 
-    /// Whether any configuration is keyless, so that nobody is asked for a key.
+    /// Whether requests carry keys, except on open routes.
     pub fn needs_keys(&self) -> bool {
         self.workspaces.is_some()
     }
--- a/crates/ebonydock/src/gateway/quota.rs
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -43,8 +43,8 @@
         })
     }
 
-    /// Refills all buckets; called when the configuration comes into force, so that a workspace's first
-    /// request does not meet an empty bucket.
+    /// Starts a workspace's bucket when its configuration comes into force, so that the bucket fills
+    /// before the first request.
     pub fn track(&mut self, now: Duration, workspace: &WorkspaceId) {
         self.bucket(workspace, now);
     }
