Scheduling: one answer read all at once no longer holds a target's limit down

Cause: the learned limit of a target fell whenever the smoothed time between tokens exceeded the best one ever seen by 1.6. The best one was that of a single answer: a VM that gets no processor for a moment reads an answer's tokens at once, sees almost no time between them, and from then on lowers the limit to one sequence for good. Batch went from 170 to about 20 items a second while the processors were idle. Change: the best time is the lowest smoothed one of the last 10 to 20 s. Test: one_answer_that_was_read_at_once_does_not_hold_a_target_down failed first (limit 1 of 6).

--- a/crates/ebonydock/src/scheduling/target_state.rs
+++ b/crates/ebonydock/src/scheduling/target_state.rs
@@ -14,12 +14,15 @@
 const FIRST_BLOCK: Duration = Duration::from_millis(50);
 const LONGEST_BLOCK: Duration = Duration::from_secs(3);
 const OVERLOAD_BLOCK: Duration = Duration::from_millis(200);
-/// The time between tokens may exceed the best one seen by this factor before the limit is lowered.
+/// The time between tokens may exceed the best one of late by this factor before the limit is lowered.
 const SLOWDOWN: f64 = 1.6;
 const LIMIT_DECREASE: f64 = 0.9;
 const DECREASE_PAUSE: Duration = Duration::from_millis(250);
 /// Weight of a new sample in the smoothed time between tokens.
 const SMOOTHING: f64 = 0.2;
+/// The best time between tokens is that of the running window of this length and the one before: long
+/// enough to have seen the target with little load, short enough to forget a wrong sample.
+const BEST_WINDOW: Duration = Duration::from_secs(10);
 
 /// Whether a target bears full load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,11 +61,40 @@
     witnesses: u32,
     failures: u32,
     blocked_until: Duration,
-    best_token: Option<f64>,
-    mean_token: f64,
+    pace: TokenPace,
     decreased_at: Duration,
 }
 
+/// The time between tokens, in microseconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct TokenPace {
+    mean: f64,
+    /// The lowest mean of the running window; a single answer that was read at once says nothing.
+    lowest: f64,
+    lowest_before: Option<f64>,
+    window_start: Duration,
+}
+
+impl TokenPace {
+    fn add(&mut self, now: Duration, micros: f64) {
+        if self.mean == 0.0 {
+            *self = Self { mean: micros, lowest: micros, lowest_before: None, window_start: now };
+            return;
+        }
+        self.mean += SMOOTHING * (micros - self.mean);
+        if now.saturating_sub(self.window_start) >= BEST_WINDOW {
+            self.lowest_before = Some(self.lowest);
+            self.lowest = self.mean;
+            self.window_start = now;
+        }
+        self.lowest = self.lowest.min(self.mean);
+    }
+
+    fn best(&self) -> f64 {
+        self.lowest_before.map_or(self.lowest, |before| before.min(self.lowest))
+    }
+}
+
 impl TargetState {
     /// A target that was not met yet; `None` unless it is an engine.
     pub fn open(entry: &TargetEntry, now: Duration) -> Option<Self> {
@@ -81,8 +113,7 @@
             witnesses: 0,
             failures: 0,
             blocked_until: Duration::ZERO,
-            best_token: None,
-            mean_token: 0.0,
+            pace: TokenPace::default(),
             decreased_at: Duration::ZERO,
         })
     }
@@ -245,14 +276,8 @@
     /// Additive increase, multiplicative decrease on the time between tokens (Chiu and Jain, "Analysis
     /// of the increase and decrease algorithms for congestion avoidance", 1989).
     fn learn_limit(&mut self, now: Duration, token_micros: f64) {
-        let best = self.best_token.map_or(token_micros, |best| best.min(token_micros));
-        self.best_token = Some(best);
-        self.mean_token = if self.mean_token == 0.0 {
-            token_micros
-        } else {
-            self.mean_token + SMOOTHING * (token_micros - self.mean_token)
-        };
-        if self.mean_token > best * SLOWDOWN {
+        self.pace.add(now, token_micros);
+        if self.pace.mean > self.pace.best() * SLOWDOWN {
             if now.saturating_sub(self.decreased_at) >= DECREASE_PAUSE {
                 self.limit = (self.limit * LIMIT_DECREASE).max(1.0);
                 self.decreased_at = now;
--- a/crates/ebonydock/src/scheduling/tests.rs
+++ b/crates/ebonydock/src/scheduling/tests.rs
@@ -15,7 +15,8 @@
 };
 use crate::scheduling::{
     AffinityPolicy, CacheReport, Decision, FairQueue, PoolPolicy, PoolScheduler, PrefixIndex,
-    RequestClass, ReserveEstimator, TargetWarmth, WaiterId, WorkspaceLoad, YieldPolicy,
+    RequestClass, ReserveEstimator, TargetState, TargetWarmth, WaiterId, WorkspaceLoad,
+    YieldPolicy,
 };
 
 const MODEL: &str = "clerk-8b";
@@ -572,3 +573,41 @@
     };
     assert_eq!(counts, expected);
 }
+
+/// A target that is warm and whose answers are as slow as when it is alone.
+fn warm_target() -> TargetState {
+    let mut state = TargetState::open(&target(0, false), Duration::ZERO).unwrap();
+    for answer in 0..4 {
+        state.note_completed(Duration::from_millis(COLD_MS + answer), PACE_MICROS);
+    }
+    assert_eq!(state.nominal_capacity(), SEQUENCES);
+    state
+}
+
+const PACE_MICROS: u32 = 5000;
+
+/// The load that this answers: a VM that gets no processor for a moment reads the tokens of an answer all
+/// at once, and takes the target for much faster than it is.
+#[test]
+fn one_answer_that_was_read_at_once_does_not_hold_a_target_down() {
+    let mut state = warm_target();
+    state.note_completed(Duration::from_millis(1100), 10);
+    for answer in 0..2000 {
+        state.note_completed(Duration::from_millis(1100 + answer * 20), PACE_MICROS);
+    }
+    assert_eq!(state.nominal_capacity(), SEQUENCES);
+}
+
+#[test]
+fn a_target_that_slows_down_under_its_load_gets_less_until_it_is_as_fast_as_alone() {
+    let mut state = warm_target();
+    let mut least = SEQUENCES;
+    for answer in 0..500 {
+        // Beyond three sequences each token takes twice as long.
+        let slowed = state.nominal_capacity() > 3;
+        let micros = if slowed { 2 * PACE_MICROS } else { PACE_MICROS };
+        state.note_completed(Duration::from_millis(1100 + answer * 20), micros);
+        least = least.min(state.nominal_capacity());
+    }
+    assert!((2..=3).contains(&least), "{least}");
+}
