--- /dev/null
+++ b/crates/ebonydock/src/gateway/batch_balance.rs
@@ -0,0 +1,101 @@
+//! How much batch work runs beside online requests.
+
+use std::time::Duration;
+
+use crate::gateway::board::PlacementBoard;
+use crate::gateway::wait_queue::SlotNeed;
+use crate::ids::ServiceName;
+
+/// The part of a service's slots that batch items leave free for online requests.
+const ONLINE_RESERVE: f64 = 0.12;
+/// What items that would else be late leave free: enough for the requests that arrive until the next
+/// look at the fleet.
+const URGENT_RESERVE: f64 = 0.06;
+/// Batch items start again when this much more is free, so that they do not start just to yield.
+const BATCH_MARGIN: f64 = 0.04;
+/// Yielding and starting of batch is decided this often: the effect of the other VMs' last decision has
+/// been reported by then.
+pub(crate) const BATCH_INTERVAL: Duration = Duration::from_millis(40);
+
+/// How many batch items of this VM yield.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BatchExcess {
+    /// The service.
+    pub service: ServiceName,
+    /// Items that yield, urgent ones after all others.
+    pub items: u32,
+    /// Of these, the urgent ones that may have to yield.
+    pub urgent: u32,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceUsage {
+    all: u32,
+    free: u32,
+    own_batch: u32,
+    batch: u32,
+}
+
+/// Rounds up or down so that the mean is exact: the shares of many VMs add up to the whole.
+fn round_randomly(value: f64) -> u32 {
+    (value + rand::random::<f64>()).floor() as u32
+}
+
+impl PlacementBoard {
+    /// The slots of a service over the targets that may be used.
+    fn usage(&self, now: Duration, service: &ServiceName) -> ServiceUsage {
+        let usable = self
+            .targets
+            .values()
+            .filter(|slots| slots.target.service == *service && slots.is_usable(now, &self.closed));
+        usable.fold(ServiceUsage::default(), |usage, slots| ServiceUsage {
+            all: usage.all + slots.target.slots,
+            free: usage.free + slots.free(),
+            own_batch: usage.own_batch + slots.own().1,
+            batch: usage.batch + slots.own().1 + slots.reported_batch,
+        })
+    }
+
+    /// The slots that are to be free for online requests, at least a part of all.
+    fn reserve(&self, usage: &ServiceUsage, part: f64) -> f64 {
+        let waiting = self.waiting_online() as u32 + self.fleet.waiting();
+        (f64::from(usage.all) * part).max(f64::from(waiting))
+    }
+
+    /// Decides for each service how many batch items of this VM yield, and how many may start until the
+    /// next decision. Both are this VM's share of what the whole fleet has too many or too few.
+    pub fn balance_batch(&mut self, now: Duration) -> Vec<BatchExcess> {
+        let mut yielding = Vec::new();
+        let services: Vec<ServiceName> = self.queues.keys().cloned().collect();
+        for service in services {
+            let usage = self.usage(now, &service);
+            let room = f64::from(usage.free) - self.reserve(&usage, ONLINE_RESERVE);
+            let vms = (self.heard() + 1) as f64;
+            let margin = f64::from(usage.all) * BATCH_MARGIN;
+            let allowance = round_randomly((room - margin).max(0.0) / vms);
+            if let Some(queue) = self.queues.get_mut(&service) {
+                queue.batch_allowance = allowance;
+            }
+            let share = f64::from(usage.own_batch) / f64::from(usage.batch.max(1));
+            let items = round_randomly((-room).max(0.0) * share).min(usage.own_batch);
+            let urgent_room = f64::from(usage.free) - self.reserve(&usage, URGENT_RESERVE);
+            let urgent = round_randomly((-urgent_room).max(0.0) * share).min(items);
+            if items > 0 {
+                yielding.push(BatchExcess { service, items, urgent });
+            }
+        }
+        yielding
+    }
+
+    /// Whether a batch item may start now.
+    pub(crate) fn may_start_batch(&self, now: Duration, need: &SlotNeed, allowance: u32) -> bool {
+        if allowance > 0 {
+            return true;
+        }
+        if !need.is_urgent(now) {
+            return false;
+        }
+        let usage = self.usage(now, &need.service);
+        f64::from(usage.free) > self.reserve(&usage, URGENT_RESERVE)
+    }
+}
--- /dev/null
+++ b/crates/ebonydock/src/gateway/fleet_load.rs
@@ -0,0 +1,85 @@
+//! What the other VMs last reported.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::gateway::load::{LoadReport, ReportedLoad};
+use crate::ids::VmId;
+
+/// A VM's report counts for this long; reports come several times as often.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
+
+#[derive(Debug)]
+struct VmLoad {
+    incarnation: u64,
+    sequence: u64,
+    received_at: Duration,
+    targets: Vec<ReportedLoad>,
+    waiting: u16,
+}
+
+/// The requests of all other VMs at one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ReportedUse {
+    pub(crate) all: u32,
+    pub(crate) batch: u32,
+}
+
+/// The last report of every VM that was heard lately.
+#[derive(Debug, Default)]
+pub(crate) struct FleetLoad {
+    vms: HashMap<VmId, VmLoad>,
+}
+
+impl FleetLoad {
+    /// Takes a report; false if it is older than one that is known.
+    pub(crate) fn observe(&mut self, now: Duration, vm: &VmId, report: &LoadReport) -> bool {
+        let stale = self.vms.get(vm).is_some_and(|load| {
+            load.incarnation == report.incarnation && load.sequence >= report.sequence
+        });
+        if stale {
+            return false;
+        }
+        let load = VmLoad {
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            received_at: now,
+            targets: report.targets.clone(),
+            waiting: report.waiting,
+        };
+        self.vms.insert(vm.clone(), load);
+        true
+    }
+
+    /// Forgets the VMs that have not been heard for some time, and returns them.
+    pub(crate) fn expire(&mut self, now: Duration) -> Vec<VmId> {
+        let silent = |load: &VmLoad| now.saturating_sub(load.received_at) > REPORT_LIFETIME;
+        self.vms.extract_if(|_, load| silent(load)).map(|(vm, _)| vm).collect()
+    }
+
+    /// The VMs that have been heard lately.
+    pub(crate) fn vms(&self) -> impl ExactSizeIterator<Item = &VmId> {
+        self.vms.keys()
+    }
+
+    /// Whether a VM has been heard lately.
+    pub(crate) fn hears(&self, vm: &VmId) -> bool {
+        self.vms.contains_key(vm)
+    }
+
+    /// The requests that wait at other VMs.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.vms.values().map(|load| u32::from(load.waiting)).sum()
+    }
+
+    /// What the VMs have running, by the target's name in reports.
+    pub(crate) fn sums(&self) -> HashMap<u32, ReportedUse> {
+        let mut sums: HashMap<u32, ReportedUse> = HashMap::new();
+        for load in self.vms.values().flat_map(|load| &load.targets) {
+            let sum = sums.entry(load.target).or_default();
+            sum.all += u32::from(load.online) + u32::from(load.batch);
+            sum.batch += u32::from(load.batch);
+        }
+        sums
+    }
+}
--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use crate::clock::monotonic;
-use crate::gateway::board::ServingTarget;
 use crate::gateway::catalog::GatewayConfig;
 use crate::gateway::runtime::GatewayCore;
+use crate::gateway::slots::ServingTarget;
 use crate::ids::DataCentreId;
 use crate::platform::rows::{RowError, RowPage, RowResult, StoredRow};
 
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -9,13 +9,14 @@
 use tokio::sync::mpsc;
 
 use crate::clock::monotonic;
-use crate::gateway::board::{SlotNeed, SlotRefusal, SlotUse};
 use crate::gateway::catalog::{ForwardRoute, RouteCatalog, RouteMiss};
 use crate::gateway::connections::SendError;
 use crate::gateway::events::EventSplitter;
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::runtime::{GatewayCore, RunningCount, SlotLease};
+use crate::gateway::slots::SlotUse;
 use crate::gateway::transport::{ReplyMeaning, TargetAttempt, TargetReply};
+use crate::gateway::wait_queue::{SlotNeed, SlotRefusal};
 use crate::ids::{ServiceName, TargetId, WorkspaceId};
 use crate::scheduling::RequestClass;
 
--- a/crates/ebonydock/src/gateway/job_lead.rs
+++ b/crates/ebonydock/src/gateway/job_lead.rs
@@ -11,7 +11,6 @@
 use tokio::task::JoinSet;
 
 use crate::clock::monotonic;
-use crate::gateway::board::SlotUse;
 use crate::gateway::catalog::RouteCatalog;
 use crate::gateway::events::EventSplitter;
 use crate::gateway::forward::{AdmittedRequest, AttemptLog, RunningAttempt};
@@ -21,6 +20,7 @@
 };
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
+use crate::gateway::slots::SlotUse;
 use crate::platform::rows::{RowError, RowTransaction};
 use crate::scheduling::RequestClass;
 
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -8,10 +8,12 @@
 //! [`Gateway`] runs them. The HTTP dialects on both sides are [`TargetTransport`] implementations and
 //! callers of [`Gateway`], outside this crate.
 
+mod batch_balance;
 mod board;
 mod catalog;
 mod connections;
 mod events;
+mod fleet_load;
 mod followers;
 mod forward;
 mod job_book;
@@ -24,14 +26,14 @@
 mod quota;
 mod request;
 mod runtime;
+mod slots;
 #[cfg(test)]
 mod tests;
 mod transport;
+mod wait_queue;
 
-pub use board::{
-    BatchExcess, PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotRefusal, SlotUse,
-    SlotWaiter,
-};
+pub use batch_balance::BatchExcess;
+pub use board::{PlacementBoard, PlacementOutcome};
 pub use catalog::{
     BatchTerms, CallerLimits, ForwardRoute, GatewayConfig, GatewayWorkspace, RouteBackend,
     RouteCatalog, RouteClass, RouteMiss, ServiceProfile,
@@ -48,4 +50,6 @@
 pub use quota::QuotaLedger;
 pub use request::{ForwardedRequest, PromptPart, RequestId, TokenDemand};
 pub use runtime::{Gateway, GatewaySettings};
+pub use slots::{ServingTarget, SlotUse};
 pub use transport::{ReplyBody, ReplyMeaning, TargetAttempt, TargetReply, TargetTransport};
+pub use wait_queue::{SlotNeed, SlotRefusal, SlotWaiter};
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -14,10 +14,8 @@
 
 use crate::clock::monotonic;
 use crate::configuration::KeyHash;
-use crate::gateway::board::{
-    BATCH_INTERVAL, PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotRefusal,
-    SlotUse, SlotWaiter,
-};
+use crate::gateway::batch_balance::BATCH_INTERVAL;
+use crate::gateway::board::{PlacementBoard, PlacementOutcome};
 use crate::gateway::catalog::{GatewayConfig, GatewayWorkspace, RouteCatalog};
 use crate::gateway::connections::{ConnectionPool, SendError};
 use crate::gateway::followers::{ClosedListing, PlatformDialect, TableFollower, TargetListing};
@@ -31,7 +29,9 @@
 use crate::gateway::peering::GatewayPeering;
 use crate::gateway::quota::QuotaLedger;
 use crate::gateway::request::ForwardedRequest;
+use crate::gateway::slots::{ServingTarget, SlotUse};
 use crate::gateway::transport::{TargetReply, TargetTransport};
+use crate::gateway::wait_queue::{SlotNeed, SlotRefusal, SlotWaiter};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId, WorkspaceId};
 use crate::platform::rows::RowStore;
 use crate::scheduling::RequestClass;
--- a/crates/ebonydock/src/gateway/tests/board.rs
+++ b/crates/ebonydock/src/gateway/tests/board.rs
@@ -6,10 +6,10 @@
 use proptest::prelude::*;
 use yare::parameterized;
 
-use crate::gateway::board::{
-    PlacementBoard, PlacementOutcome, ServingTarget, SlotNeed, SlotUse, SlotWaiter,
-};
+use crate::gateway::board::{PlacementBoard, PlacementOutcome};
 use crate::gateway::load::{LoadReport, ReportedLoad, target_hash};
+use crate::gateway::slots::{ServingTarget, SlotUse};
+use crate::gateway::wait_queue::{SlotNeed, SlotWaiter};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
 use crate::scheduling::RequestClass;
 
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -11,12 +11,12 @@
 use ntex::util::Bytes;
 use tokio::sync::Notify;
 
-use crate::gateway::board::ServingTarget;
 use crate::gateway::catalog::{BatchTerms, GatewayConfig, RouteClass};
 use crate::gateway::connections::{ConnectionPool, SendError};
 use crate::gateway::followers::{OperatorRecord, PlatformDialect};
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::{Gateway, GatewaySettings};
+use crate::gateway::slots::ServingTarget;
 use crate::gateway::tests::catalog::{config, route};
 use crate::gateway::transport::{ReplyMeaning, TargetAttempt, TargetReply, TargetTransport};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
--- a/crates/ebonydock/src/gateway/transport.rs
+++ b/crates/ebonydock/src/gateway/transport.rs
@@ -7,9 +7,9 @@
 use http::{HeaderName, HeaderValue, StatusCode};
 use ntex::util::Bytes;
 
-use crate::gateway::board::ServingTarget;
 use crate::gateway::connections::SendError;
 use crate::gateway::request::ForwardedRequest;
+use crate::gateway::slots::ServingTarget;
 use crate::ids::WorkspaceId;
 
 /// One attempt at one target.
