--- /dev/null
+++ b/crates/ebonydock/src/gateway/leases.rs
@@ -0,0 +1,209 @@
+//! Slots that requests hold, and requests that wait for one.
+
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+
+use crate::clock::monotonic;
+use crate::gateway::batch_balance::BATCH_INTERVAL;
+use crate::gateway::board::PlacementOutcome;
+use crate::gateway::runtime::GatewayCore;
+use crate::gateway::slots::SlotUse;
+use crate::gateway::wait_queue::{SlotNeed, SlotRefusal, SlotWaiter};
+use crate::ids::{ServiceName, TargetId};
+use crate::scheduling::RequestClass;
+
+/// Waiting requests are looked at this often when nothing else calls for it: time limits, cold starts
+/// and suspicions end by themselves.
+const WAIT_TICK: Duration = Duration::from_millis(10);
+
+/// Who waits for a slot, and which slots may have to be given up.
+#[derive(Default)]
+pub(crate) struct LeaseBook {
+    waiters: RefCell<HashMap<SlotWaiter, oneshot::Sender<Result<SlotLease, SlotRefusal>>>>,
+    yieldable: RefCell<BTreeMap<u64, YieldableSlot>>,
+    next_yieldable: Cell<u64>,
+    wake: Notify,
+}
+
+/// A slot of a target. Dropping it counts as a cancelled request.
+pub(crate) struct SlotLease {
+    core: Rc<GatewayCore>,
+    target: TargetId,
+    class: RequestClass,
+    usage: SlotUse,
+    /// Identifies a batch item's slot among those that may have to yield.
+    yieldable: Option<u64>,
+}
+
+/// A slot of a batch item that may have to yield.
+struct YieldableSlot {
+    service: ServiceName,
+    order: Duration,
+    urgent_at: Option<Duration>,
+    /// Told to give the slot up, once an answer runs there.
+    yields: Option<oneshot::Sender<()>>,
+}
+
+impl SlotLease {
+    pub(crate) fn target(&self) -> &TargetId {
+        &self.target
+    }
+
+    /// Lists a batch item's slot among those that may have to yield.
+    fn yielding(mut self, need: &SlotNeed) -> Self {
+        if self.class == RequestClass::Batch {
+            let number = self.core.leases.next_yieldable.get();
+            self.core.leases.next_yieldable.set(number + 1);
+            let slot = YieldableSlot {
+                service: need.service.clone(),
+                order: need.order,
+                urgent_at: need.urgent_at,
+                yields: None,
+            };
+            self.core.leases.yieldable.borrow_mut().insert(number, slot);
+            self.yieldable = Some(number);
+        }
+        self
+    }
+
+    /// A signal that tells when the slot is needed for an online request. Online requests never yield.
+    pub(crate) fn watch_yield(&self) -> Option<oneshot::Receiver<()>> {
+        let number = self.yieldable?;
+        let (sender, receiver) = oneshot::channel();
+        self.core.leases.yieldable.borrow_mut().get_mut(&number)?.yields = Some(sender);
+        Some(receiver)
+    }
+
+    pub(crate) fn release(mut self, usage: SlotUse) {
+        self.usage = usage;
+    }
+}
+
+impl Drop for SlotLease {
+    fn drop(&mut self) {
+        if let Some(number) = self.yieldable {
+            self.core.leases.yieldable.borrow_mut().remove(&number);
+        }
+        let now = monotonic();
+        self.core.board.borrow_mut().release(now, &self.target, self.class, self.usage);
+        self.core.advance();
+    }
+}
+
+/// Takes a request out of the queue when its caller leaves.
+struct WaitGuard {
+    core: Rc<GatewayCore>,
+    waiter: SlotWaiter,
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        let waiting = self.core.leases.waiters.borrow_mut().remove(&self.waiter).is_some();
+        if waiting {
+            self.core.board.borrow_mut().cancel(self.waiter);
+        }
+    }
+}
+
+impl GatewayCore {
+    /// Takes a slot, waiting for one if need be.
+    pub(crate) async fn acquire(self: &Rc<Self>, need: SlotNeed) -> Result<SlotLease, SlotRefusal> {
+        let class = need.class;
+        let outcome = self.board.borrow_mut().request(monotonic(), need.clone());
+        let waiter = match outcome {
+            PlacementOutcome::Placed(target) => {
+                return Ok(self.lease(target, class).yielding(&need));
+            }
+            PlacementOutcome::Refused(refusal) => return Err(refusal),
+            PlacementOutcome::Waiting(waiter) => waiter,
+        };
+        let (sender, receiver) = oneshot::channel();
+        self.leases.waiters.borrow_mut().insert(waiter, sender);
+        self.leases.wake.notify_one();
+        let _guard = WaitGuard { core: Rc::clone(self), waiter };
+        let decided = receiver.await;
+        let decided = decided
+            .unwrap_or_else(|_| unreachable!("waiters are decided or removed by their guard"));
+        Ok(decided?.yielding(&need))
+    }
+
+    fn lease(self: &Rc<Self>, target: TargetId, class: RequestClass) -> SlotLease {
+        SlotLease {
+            core: Rc::clone(self),
+            target,
+            class,
+            usage: SlotUse::Cancelled,
+            yieldable: None,
+        }
+    }
+
+    /// Places waiting requests.
+    pub(crate) fn advance(self: &Rc<Self>) {
+        if self.leases.waiters.borrow().is_empty() {
+            return;
+        }
+        let decided = self.board.borrow_mut().advance(monotonic());
+        for (waiter, class, outcome) in decided {
+            let outcome = outcome.map(|target| self.lease(target, class));
+            let sender = self.leases.waiters.borrow_mut().remove(&waiter);
+            // A caller that has left meanwhile gives the slot back by dropping the lease.
+            if let Some(sender) = sender {
+                let _ = sender.send(outcome);
+            }
+        }
+    }
+
+    /// Has batch items yield to online requests, those due last first, and lets others start.
+    fn balance_batch(self: &Rc<Self>) {
+        let now = monotonic();
+        let excesses = self.board.borrow_mut().balance_batch(now);
+        for excess in excesses {
+            let mut slots = self.leases.yieldable.borrow_mut();
+            let own = slots.iter().filter(|(_, slot)| slot.service == excess.service);
+            let mut own: Vec<(bool, Reverse<Duration>, u64)> = own
+                .map(|(number, slot)| {
+                    let urgent = slot.urgent_at.is_some_and(|at| now >= at);
+                    (urgent, Reverse(slot.order), *number)
+                })
+                .collect();
+            own.sort_unstable();
+            let mut urgent_left = excess.urgent;
+            for (urgent, _, number) in own.into_iter().take(excess.items as usize) {
+                if urgent && urgent_left == 0 {
+                    break;
+                }
+                urgent_left -= u32::from(urgent);
+                self.metrics.count("item", "yielded");
+                // An item whose answer has not begun, or has just ended, keeps its slot.
+                if let Some(yields) = slots.remove(&number).and_then(|slot| slot.yields) {
+                    let _ = yields.send(());
+                }
+            }
+        }
+        self.advance();
+    }
+}
+
+/// Places waiting requests as time goes on.
+pub(crate) async fn advance_waiting(core: Rc<GatewayCore>) {
+    loop {
+        if core.leases.waiters.borrow().is_empty() {
+            core.leases.wake.notified().await;
+        }
+        tokio::time::sleep(WAIT_TICK).await;
+        core.advance();
+    }
+}
+
+/// Lets batch items yield and start as the load changes.
+pub(crate) async fn balance(core: Rc<GatewayCore>) {
+    loop {
+        tokio::time::sleep(BATCH_INTERVAL).await;
+        core.balance_batch();
+    }
+}
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -38,10 +38,6 @@
     pub quotas: Vec<SpentQuota>,
     /// Requests of callers that wait at the VM for a target.
     pub waiting: u16,
-    /// The version of the configuration that the VM has in force.
-    pub config_version: u64,
-    /// Whether the VM is stopping.
-    pub leaving: bool,
 }
 
 /// The hash under which reports name a target.
--- a/crates/ebonydock/src/gateway/quota.rs
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -22,7 +22,8 @@
     own_spent: u64,
     /// Requests given back that no later spending has made up for: what is reported never goes back.
     refunded: u64,
-    reported: HashMap<VmId, u64>,
+    /// By VM its incarnation, with which its counter starts anew, and what it last said.
+    reported: HashMap<VmId, (u64, u64)>,
 }
 
 /// The buckets of all workspaces, as one VM knows them.
@@ -91,26 +92,22 @@
         bucket.refunded += 1;
     }
 
-    /// Takes what another VM says that it has spent since its start.
+    /// Takes what a VM with an incarnation says that it has spent since its start.
     pub fn observe(
         &mut self,
         now: Duration,
-        vm: &VmId,
-        workspace: &WorkspaceId,
-        spent: u64,
+        (vm, incarnation): (&VmId, u64),
+        spent: &SpentQuota,
         rate: f64,
     ) {
-        let bucket = self.bucket(workspace, now);
-        let before = bucket.reported.insert(vm.clone(), spent).unwrap_or(spent);
+        let bucket = self.bucket(&spent.workspace, now);
+        let reported = bucket.reported.insert(vm.clone(), (incarnation, spent.requests));
+        // What a VM had spent before it was first heard is not known to be recent.
+        let before = reported.filter(|(known, _)| *known == incarnation);
+        let before = before.map_or(spent.requests, |(_, requests)| requests);
         let debt = -(rate * DEBT_LIMIT_S).max(1.0);
-        bucket.level = (bucket.level - spent.saturating_sub(before) as f64).max(debt);
-    }
-
-    /// Forgets what a VM reported, because it has ended.
-    pub fn forget(&mut self, vm: &VmId) {
-        for bucket in self.buckets.values_mut() {
-            bucket.reported.remove(vm);
-        }
+        let news = spent.requests.saturating_sub(before) as f64;
+        bucket.level = (bucket.level - news).max(debt);
     }
 
     /// What this VM has spent since its start.
--- a/crates/ebonydock/src/gateway/tests/decisions.rs
+++ b/crates/ebonydock/src/gateway/tests/decisions.rs
@@ -10,6 +10,7 @@
 use crate::gateway::job_book::{
     INPUT_TABLE, JobBook, JobHead, JobName, JobProgress, encode, join_chunks, write_chunks,
 };
+use crate::gateway::load::SpentQuota;
 use crate::gateway::quota::QuotaLedger;
 use crate::ids::{VmId, WorkspaceId};
 use crate::platform::rows::{RowTransaction, StoredRow};
@@ -46,7 +47,8 @@
             for (vm, ledger) in ledgers.iter_mut().enumerate() {
                 for (other, spent) in spent.iter().enumerate().filter(|(other, _)| *other != vm) {
                     if !cut.contains(&tick) || side(other) == side(vm) {
-                        ledger.observe(now, &names[other], &workspace, *spent, RATE);
+                        let spent = SpentQuota { workspace: workspace.clone(), requests: *spent };
+                        ledger.observe(now, (&names[other], 1), &spent, RATE);
                     }
                 }
             }
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -6,10 +6,10 @@
 
 use crate::configuration::KeyHash;
 use crate::gateway::connections::SendError;
+use crate::gateway::handle::Gateway;
 use crate::gateway::job_book::{JobItem, JobSubmission, ListedResult};
 use crate::gateway::job_service::{JobRefusal, JobResultPage};
 use crate::gateway::request::TokenDemand;
-use crate::gateway::runtime::Gateway;
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetAct, run};
 
 const ITEMS: u32 = 5;
--- /dev/null
+++ b/crates/ebonydock/src/gateway/traces.rs
@@ -0,0 +1,68 @@
+//! What the gateway logs and counts of a request's way.
+
+use std::time::Duration;
+
+use crate::clock::monotonic;
+use crate::gateway::connections::SendError;
+use crate::gateway::forward::{AdmittedRequest, AttemptLog, RunningAttempt};
+use crate::gateway::runtime::GatewayCore;
+use crate::gateway::slots::ServingTarget;
+use crate::gateway::transport::TargetReply;
+use crate::ids::TargetId;
+
+impl GatewayCore {
+    pub(crate) fn log_attempt(
+        &self,
+        admitted: &AdmittedRequest,
+        target: &ServingTarget,
+        log: &AttemptLog,
+        sent_at: Duration,
+        outcome: &Result<TargetReply, SendError>,
+    ) {
+        let now = monotonic();
+        let (status, outcome) = match outcome {
+            Ok(reply) => (reply.status.as_u16(), format!("{:?}", reply.meaning)),
+            Err(error) => (0, error.to_string()),
+        };
+        self.metrics.count("attempt", if status == 0 { "no_answer" } else { "answered" });
+        log::info!(
+            id = &*admitted.request.id, route = &*admitted.route.name,
+            workspace = admitted.workspace.as_ref().map_or("", |workspace| workspace.as_str()),
+            target_id = target.id.as_str(), run = log.runs, unrun = log.unrun as u64,
+            waited_ms = sent_at.saturating_sub(admitted.request.received_at).as_millis() as u64,
+            head_ms = now.saturating_sub(sent_at).as_millis() as u64,
+            left_ms = admitted.ends_at.saturating_sub(now).as_millis() as u64,
+            config_version = admitted.config_version, status = status, outcome = outcome;
+            "attempt"
+        );
+    }
+
+    pub(crate) fn log_break(
+        &self,
+        admitted: &AdmittedRequest,
+        attempt: &RunningAttempt,
+        reason: &str,
+    ) {
+        self.metrics.count("attempt", "broken_off");
+        log::info!(
+            id = &*admitted.request.id, target_id = attempt.lease.target().as_str(), reason = reason;
+            "answer broke off"
+        );
+    }
+
+    pub(crate) fn log_stream_end(
+        &self,
+        admitted: &AdmittedRequest,
+        target: &TargetId,
+        outcome: &str,
+        last_event: Option<u64>,
+    ) {
+        self.metrics.count("stream", outcome);
+        log::info!(
+            id = &*admitted.request.id, target_id = target.as_str(), outcome = outcome,
+            last_event = last_event.unwrap_or(0),
+            took_ms = monotonic().saturating_sub(admitted.request.received_at).as_millis() as u64;
+            "stream ended"
+        );
+    }
+}
