--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -10,7 +10,7 @@
 use crate::gateway::runtime::GatewayCore;
 use crate::gateway::slots::ServingTarget;
 use crate::ids::DataCentreId;
-use crate::platform::rows::{RowError, RowPage, RowResult, StoredRow};
+use crate::platform::rows::{RowError, RowResult, StoredRow, read_all};
 
 /// A feed answers after this time also without a change; long waits keep idle VMs cheap.
 const FEED_WAIT: Duration = Duration::from_secs(8);
@@ -123,26 +123,18 @@
 
     async fn list(&self) -> RowResult<(Vec<StoredRow>, u64)> {
         let mut rows = Vec::new();
-        let mut version = None;
+        let mut version = u64::MAX;
         for part in &self.parts {
-            let mut from = String::new();
-            loop {
-                let page: RowPage = self.core.rows.range(self.table, part, &from, "").await?;
-                self.core.note_store_time(page.store_time);
-                if page.version < self.seen {
-                    // A stale read would take back what is known.
-                    return Err(RowError::Refused(format!("stale at version {}", page.version)));
-                }
-                version.get_or_insert(page.version);
-                let last = page.rows.last().map(|row| row.key.clone());
-                rows.extend(page.rows);
-                match last.filter(|_| page.has_more) {
-                    Some(last) => from = format!("{last} "),
-                    None => break,
-                }
+            let page = read_all(&*self.core.rows, self.table, part, "", "").await?;
+            self.core.note_store_time(page.store_time);
+            if page.version < self.seen {
+                // A stale read would take back what is known.
+                return Err(RowError::Refused(format!("stale at version {}", page.version)));
             }
+            version = version.min(page.version);
+            rows.extend(page.rows);
         }
-        Ok((rows, version.unwrap_or(0)))
+        Ok((rows, version))
     }
 
     /// The result, or after a pause `None`.
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -13,7 +13,7 @@
 use crate::gateway::followers::PlatformDialect;
 use crate::gateway::forward::{ForwardAnswer, GatewayRefusal};
 use crate::gateway::job_book::JobSubmission;
-use crate::gateway::job_service::{JobAnswer, JobResultPage};
+use crate::gateway::job_calls::{JobAnswer, JobResultPage};
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
 use crate::gateway::transport::TargetTransport;
--- a/crates/ebonydock/src/gateway/job_book.rs
+++ b/crates/ebonydock/src/gateway/job_book.rs
@@ -89,7 +89,6 @@
     pub(crate) keep_until: Duration,
     pub(crate) items: u32,
     pub(crate) tokens: u64,
-    pub(crate) input_chunks: u32,
     /// The VM that runs it; empty if its lead has handed it on.
     pub(crate) lead: String,
     pub(crate) lead_incarnation: u64,
@@ -153,6 +152,11 @@
         format!("{}/{number:06}.{chunk:03}", self.0)
     }
 
+    /// The key before all keys of the job.
+    pub(crate) fn first_key(&self) -> String {
+        format!("{}/", self.0)
+    }
+
     /// The key behind all keys of the job.
     pub(crate) fn end_key(&self) -> String {
         // The character behind the slash.
--- /dev/null
+++ b/crates/ebonydock/src/gateway/job_cache.rs
@@ -0,0 +1,59 @@
+//! Results that a VM keeps in memory for readers.
+
+use std::collections::{HashMap, VecDeque};
+
+use crate::gateway::job_book::{JobName, ListedResult};
+
+/// A page of results.
+const PAGE_BYTES: usize = 900_000;
+/// Results that a VM keeps in memory for readers, over all jobs.
+const CACHE_BYTES: usize = 6 << 20;
+
+/// The first results that fit into a page; at least one.
+pub(crate) fn first_page(results: impl Iterator<Item = ListedResult>) -> Vec<ListedResult> {
+    let mut bytes = 0;
+    let fits = results.take_while(|result| {
+        let first = bytes == 0;
+        bytes += result.text.len() + 1;
+        first || bytes <= PAGE_BYTES
+    });
+    fits.collect()
+}
+
+/// Committed results never change, so any part of them may be kept.
+#[derive(Default)]
+pub(crate) struct ResultCache {
+    results: HashMap<JobName, Vec<ListedResult>>,
+    order: VecDeque<JobName>,
+    bytes: usize,
+}
+
+impl ResultCache {
+    /// Adds results from a position on.
+    pub(crate) fn add(&mut self, job: &JobName, first: u32, results: Vec<ListedResult>) {
+        let known = self.results.entry(job.clone()).or_insert_with(|| {
+            self.order.push_back(job.clone());
+            Vec::new()
+        });
+        // Only a gapless beginning is kept.
+        if (first as usize) > known.len() {
+            return;
+        }
+        let skip = known.len() - first as usize;
+        for result in results.into_iter().skip(skip) {
+            self.bytes += result.text.len();
+            known.push(result);
+        }
+        while self.bytes > CACHE_BYTES {
+            let Some(oldest) = self.order.pop_front() else { return };
+            let dropped = self.results.remove(&oldest).unwrap_or_default();
+            self.bytes -= dropped.iter().map(|result| result.text.len()).sum::<usize>();
+        }
+    }
+
+    /// A page of the results between two positions, if all of them are kept.
+    pub(crate) fn page(&self, job: &JobName, from: u32, to: u32) -> Option<Vec<ListedResult>> {
+        let known = self.results.get(job)?.get(from as usize..to as usize)?;
+        Some(first_page(known.iter().cloned()))
+    }
+}
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -14,7 +14,7 @@
 use crate::gateway::connections::ConnectionPool;
 use crate::gateway::followers::{ClosedListing, PlatformDialect, TableFollower, TargetListing};
 use crate::gateway::handle::GatewaySettings;
-use crate::gateway::job_service::JobDesk;
+use crate::gateway::job_desk::JobDesk;
 use crate::gateway::leases::{LeaseBook, advance_waiting, balance};
 use crate::gateway::load::LoadReport;
 use crate::gateway::metrics::{GatewayMetrics, GaugeValues};
--- a/crates/ebonydock/src/gateway/tests/decisions.rs
+++ b/crates/ebonydock/src/gateway/tests/decisions.rs
@@ -129,7 +129,6 @@
         keep_until: Duration::from_mins(1),
         items: 2,
         tokens,
-        input_chunks: 1,
         lead: "vm1".into(),
         lead_incarnation: 7,
         ended: false,
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -8,7 +8,7 @@
 use crate::gateway::connections::SendError;
 use crate::gateway::handle::Gateway;
 use crate::gateway::job_book::{JobItem, JobSubmission, ListedResult};
-use crate::gateway::job_service::{JobRefusal, JobResultPage};
+use crate::gateway::job_calls::{JobRefusal, JobResultPage};
 use crate::gateway::request::TokenDemand;
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetAct, run};
 
--- a/crates/ebonydock/src/platform/rows.rs
+++ b/crates/ebonydock/src/platform/rows.rs
@@ -102,6 +102,29 @@
 /// The outcome of a call of the store.
 pub type RowResult<T> = Result<T, RowError>;
 
+/// Reads all rows of a part from a key up to another one, page by page. The version is the lowest of all
+/// pages, so that a feed from there on misses nothing.
+pub(crate) async fn read_all(
+    store: &dyn RowStore,
+    table: &str,
+    part: &str,
+    from: &str,
+    to: &str,
+) -> RowResult<RowPage> {
+    let mut all = store.range(table, part, from, to).await?;
+    while all.has_more {
+        let Some(last) = all.rows.last() else { break };
+        // The least key that follows, among those that keys are made of.
+        let from = format!("{} ", last.key);
+        let page = store.range(table, part, &from, to).await?;
+        all.rows.extend(page.rows);
+        all.version = all.version.min(page.version);
+        all.store_time = page.store_time;
+        all.has_more = page.has_more;
+    }
+    Ok(all)
+}
+
 /// The platform's rows.
 pub trait RowStore {
     /// Runs a transaction and returns its version, the new version of all rows that it wrote.
