--- a/crates/ebonydock/src/gateway/board.rs
+++ b/crates/ebonydock/src/gateway/board.rs
@@ -8,6 +8,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
+
 use crate::gateway::fleet_load::FleetLoad;
 use crate::gateway::load::{LoadReport, ReportedLoad};
 use crate::gateway::slots::{ServingTarget, SlotUse, TargetSlots};
@@ -23,9 +25,16 @@
 /// Shared prefixes whose last target is remembered.
 const PREFIX_LIMIT: usize = 4096;
 
+/// Targets that are compared at least; two are much better than one, and more help little when reports
+/// are old (Mitzenmacher, "How useful is old information?", 2000).
+const LEAST_DRAWN: usize = 2;
 /// VMs that see the same load must not all choose the same target; less than one slot's part.
 const SCORE_NOISE: f64 = 0.02;
 
+/// The VMs that share what a target bears in cold start, until their number is known. More than there
+/// are: too few would topple the target.
+const UNKNOWN_FLEET: usize = 300;
+
 /// What became of a request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlacementOutcome {
@@ -37,6 +46,13 @@
     Refused(SlotRefusal),
 }
 
+/// Draws candidates at random: all of them if every placement is known, fewer the more are `unseen`.
+fn draw<T>(candidates: &mut [T], unseen: f64) -> &[T] {
+    let part = (candidates.len() as f64 / (1.0 + unseen)).ceil() as usize;
+    let count = part.max(LEAST_DRAWN).min(candidates.len());
+    candidates.partial_shuffle(&mut rand::rng(), count).0
+}
+
 /// The slots of all targets as one VM knows them, and the requests that wait for one.
 #[derive(Debug)]
 pub struct PlacementBoard {
@@ -49,6 +65,7 @@
     prefixes: HashMap<u64, TargetId>,
     sequence: u64,
     fleet_size: usize,
+    report_age: Duration,
 }
 
 impl PlacementBoard {
@@ -63,7 +80,8 @@
             queues: HashMap::new(),
             prefixes: HashMap::new(),
             sequence: 0,
-            fleet_size: 1,
+            fleet_size: UNKNOWN_FLEET,
+            report_age: Duration::ZERO,
         }
     }
 
@@ -94,6 +112,11 @@
         self.fleet_size = vms.max(1);
     }
 
+    /// Sets how old reports of other VMs are at the mean.
+    pub fn set_report_age(&mut self, age: Duration) {
+        self.report_age = age;
+    }
+
     /// A target of the list.
     pub fn target(&self, id: &TargetId) -> Option<&ServingTarget> {
         self.targets.get(id).map(|slots| &slots.target)
@@ -104,13 +127,18 @@
         self.targets.len()
     }
 
-    /// Takes the report of another VM; false if it is older than one that is known.
-    pub fn observe(&mut self, now: Duration, vm: &VmId, report: &LoadReport) -> bool {
-        let is_new = self.fleet.observe(now, vm, report);
-        if is_new {
+    /// Takes reports of other VMs and returns those that are newer than what is known.
+    pub fn observe<'a>(
+        &mut self,
+        now: Duration,
+        reports: &'a [(VmId, LoadReport)],
+    ) -> Vec<&'a (VmId, LoadReport)> {
+        let news = reports.iter().filter(|(vm, report)| self.fleet.observe(now, vm, report));
+        let news: Vec<_> = news.collect();
+        if !news.is_empty() {
             self.count_reports();
         }
-        is_new
+        news
     }
 
     /// Forgets what VMs reported that have not been heard for some time, and returns them.
@@ -232,7 +260,9 @@
             return None;
         }
         let cold_rate = self.cold_rate(&need.service);
-        let id = self.choose(now, need, cold_rate)?;
+        // Each VM places about as many requests as this one.
+        let unseen = queue.placed_per_s() * self.heard() as f64 * self.report_age.as_secs_f64();
+        let id = self.choose(now, need, cold_rate, unseen)?;
         self.targets.get_mut(&id)?.take(now, need.class, cold_rate);
         self.remember_prefix(need.prefix, &id);
         queue.count_placement(now);
@@ -245,26 +275,39 @@
         self.cold_rates.get(service).copied().unwrap_or(0.0) / self.fleet_size as f64
     }
 
-    fn choose(&self, now: Duration, need: &SlotNeed, cold_rate: f64) -> Option<TargetId> {
+    /// The best of some targets drawn at random. The more placements of other VMs are not reported yet,
+    /// the fewer are drawn: VMs that all see the same load must not all choose the same target.
+    fn choose(
+        &self,
+        now: Duration,
+        need: &SlotNeed,
+        cold_rate: f64,
+        unseen: f64,
+    ) -> Option<TargetId> {
         let warmed = need.prefix.and_then(|prefix| self.prefixes.get(&prefix));
         let candidates = self.targets.iter().filter(|(id, slots)| {
             slots.target.service == need.service
                 && slots.free() > 0
                 && slots.is_usable(now, &self.closed)
                 && !need.excluded.contains(id)
-                && !(cold_rate > 0.0 && slots.is_cold_limited(now))
+                && !slots.is_cold_limited(now, cold_rate)
         });
-        let scored = candidates.map(|(id, slots)| {
+        let (mut near, mut far) = (Vec::new(), Vec::new());
+        for (id, slots) in candidates {
             let mut score = f64::from(slots.in_use()) / f64::from(slots.target.slots);
-            if slots.target.data_centre != self.data_centre {
-                score += REMOTE_PENALTY;
-            }
             if warmed == Some(id) {
                 score -= PREFIX_BONUS;
             }
-            (score + rand::random::<f64>() * SCORE_NOISE, id)
-        });
-        scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id.clone())
+            let is_near = slots.target.data_centre == self.data_centre;
+            if is_near {
+                near.push((score, id));
+            } else {
+                far.push((score + REMOTE_PENALTY, id));
+            }
+        }
+        let drawn = draw(&mut near, unseen).iter().chain(draw(&mut far, unseen));
+        let noisy = drawn.map(|(score, id)| (score + rand::random::<f64>() * SCORE_NOISE, *id));
+        noisy.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id.clone())
     }
 
     fn remember_prefix(&mut self, prefix: Option<u64>, target: &TargetId) {
--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -20,6 +20,33 @@
 /// that left just then may be sent requests for as long, so the grace ends sooner.
 const RETURN_GRACE: Duration = Duration::from_millis(1700);
 
+/// After changes a follower waits before it asks for the next ones, by this much for each member: all
+/// members ask again after each change, and their calls share the store's rate.
+const FEED_PAUSE_PER_MEMBER: Duration = Duration::from_micros(1200);
+/// The same for jobs, which change several times a second and whose readers come back anyway.
+const JOB_PAUSE_PER_MEMBER: Duration = Duration::from_millis(6);
+/// News are seen this late at most on account of the pause.
+const LONGEST_FEED_PAUSE: Duration = Duration::from_millis(500);
+
+/// How long news of a table may wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NewsUrgency {
+    /// Configuration, targets, members.
+    Prompt,
+    /// Jobs.
+    Relaxed,
+}
+
+impl NewsUrgency {
+    fn pause(self, members: usize) -> Duration {
+        let each = match self {
+            Self::Prompt => FEED_PAUSE_PER_MEMBER,
+            Self::Relaxed => JOB_PAUSE_PER_MEMBER,
+        };
+        (each * members as u32).min(LONGEST_FEED_PAUSE)
+    }
+}
+
 /// What a row of the operators' table says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum OperatorRecord {
@@ -65,6 +92,7 @@
     table: &'static str,
     /// The parts that hold the table's rows.
     parts: Vec<String>,
+    urgency: NewsUrgency,
     pause: Duration,
     lost_since: Option<Duration>,
     seen: u64,
@@ -78,12 +106,14 @@
         core: &Rc<GatewayCore>,
         table: &'static str,
         parts: Vec<String>,
+        urgency: NewsUrgency,
         heard_at: Rc<Cell<Option<Duration>>>,
     ) -> Self {
         Self {
             core: Rc::clone(core),
             table,
             parts,
+            urgency,
             pause: RETRY_PAUSES.0,
             lost_since: None,
             seen: 0,
@@ -116,6 +146,8 @@
                 self.seen = version;
                 if !page.rows.is_empty() || back_at.is_some() {
                     on_news(&self.core, TableNews::Changed(page.rows), back_at);
+                    let members = self.core.peering.member_count();
+                    tokio::time::sleep(self.urgency.pause(members)).await;
                 }
             }
         }
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -32,6 +32,8 @@
     pub vm: VmId,
     /// Its data centre.
     pub data_centre: DataCentreId,
+    /// Its processor share in thousandths of a core. Large VMs pass the reports of others on.
+    pub capacity: u32,
     /// Where it takes messages of other VMs, over UDP.
     pub peers: SocketAddr,
     /// Results of jobs can be read for this long after the jobs were accepted.
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{TargetId, WorkspaceId};
+use crate::gateway::report_routes::ReportInterest;
+use crate::ids::{TargetId, VmId, WorkspaceId};
 
 /// The requests that a VM has running at one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +41,15 @@
     pub waiting: u16,
 }
 
+/// Reports that travel in one datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNews {
+    /// What the sender wants to be told in return.
+    pub interest: ReportInterest,
+    /// Reports by their VMs.
+    pub reports: Vec<(VmId, LoadReport)>,
+}
+
 /// The hash under which reports name a target.
 pub(crate) fn target_hash(target: &TargetId) -> u32 {
     xxh3_64(target.as_str().as_bytes()) as u32
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -1,7 +1,7 @@
 //! Gateways find each other through the platform's rows and exchange load reports over QUIC.
 //!
 //! Each start makes a certificate and publishes it with the VM's address; VMs accept the certificates
-//! that are published and no others.
+//! that are published and no others. Who reports to whom is up to [`ReportRoutes`].
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -13,21 +13,19 @@
 use rcgen::{CertificateParams, DistinguishedName, DnType, KeyPair};
 use serde::{Deserialize, Serialize};
 
-use crate::clock::monotonic;
-use crate::gateway::followers::TableNews;
-use crate::gateway::load::LoadReport;
+use crate::gateway::followers::{NewsUrgency, TableNews};
+use crate::gateway::handle::GatewaySettings;
+use crate::gateway::load::LoadNews;
+use crate::gateway::report_exchange::{forward_reports, report_load};
+use crate::gateway::report_routes::{ReportMember, ReportRoutes};
 use crate::gateway::runtime::GatewayCore;
-use crate::ids::VmId;
+use crate::ids::{DataCentreId, VmId};
 use crate::peers::messages::{PeerDatagram, PeerReply, PeerRequest};
 use crate::peers::{PeerEndpoint, PeerEvents, TlsIdentity};
 use crate::platform::rows::{RowError, RowTransaction};
 
 /// The table of VMs.
 pub(crate) const MEMBER_TABLE: &str = "gateway_members";
-/// Load is reported at most this often; each report costs every other VM a datagram.
-const REPORT_INTERVAL: Duration = Duration::from_millis(15);
-/// Unchanged load is reported this often, several times within the lifetime of a report.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// A VM that cannot be reached is tried again after this time.
 const RECONNECT_PAUSE: Duration = Duration::from_secs(1);
 const PUBLISH_PAUSE: Duration = Duration::from_millis(300);
@@ -39,6 +37,10 @@
     pub(crate) vm: VmId,
     /// Differs after each start.
     pub(crate) incarnation: u64,
+    /// Its data centre.
+    pub(crate) data_centre: DataCentreId,
+    /// Its processor share in thousandths of a core.
+    pub(crate) capacity: u32,
     /// Where it takes messages of other VMs.
     pub(crate) address: SocketAddr,
     /// Its certificate, in PEM.
@@ -51,8 +53,9 @@
     own: GatewayMember,
     private_key: String,
     members: RefCell<HashMap<String, GatewayMember>>,
+    is_listed: Cell<bool>,
     tried_at: RefCell<HashMap<VmId, Duration>>,
-    sequence: Cell<u64>,
+    pub(crate) routes: RefCell<ReportRoutes>,
 }
 
 fn make_certificate(vm: &VmId, incarnation: u64) -> Result<(String, String), String> {
@@ -68,23 +71,32 @@
 }
 
 impl GatewayPeering {
-    /// Binds the endpoint at `address`.
-    pub(crate) fn bind(vm: &VmId, incarnation: u64, address: SocketAddr) -> Result<Self, String> {
-        let (certificate, private_key) = make_certificate(vm, incarnation)?;
-        let own = GatewayMember { vm: vm.clone(), incarnation, address, certificate };
+    /// Binds the endpoint.
+    pub(crate) fn bind(settings: &GatewaySettings, incarnation: u64) -> Result<Self, String> {
+        let (certificate, private_key) = make_certificate(&settings.vm, incarnation)?;
+        let own = GatewayMember {
+            vm: settings.vm.clone(),
+            incarnation,
+            data_centre: settings.data_centre.clone(),
+            capacity: settings.capacity,
+            address: settings.peers,
+            certificate,
+        };
         let identity = TlsIdentity {
             authority: own.certificate.clone(),
             certificate: own.certificate.clone(),
             private_key: private_key.clone(),
         };
-        let endpoint = PeerEndpoint::bind(vm, address, &identity)?;
+        let endpoint = PeerEndpoint::bind(&own.vm, own.address, &identity)?;
+        let routes = RefCell::new(ReportRoutes::open(&own.vm));
         Ok(Self {
             endpoint,
             own,
             private_key,
             members: RefCell::default(),
+            is_listed: Cell::new(false),
             tried_at: RefCell::default(),
-            sequence: Cell::new(0),
+            routes,
         })
     }
 
@@ -95,6 +107,11 @@
         others + 1
     }
 
+    /// The number of VMs, this one included, once the platform has told them.
+    pub(crate) fn known_members(&self) -> Option<usize> {
+        self.is_listed.get().then(|| self.member_count())
+    }
+
     /// Whether a VM is published with this incarnation.
     pub(crate) fn is_member(&self, vm: &VmId, incarnation: u64) -> bool {
         let members = self.members.borrow();
@@ -109,6 +126,7 @@
     fn take_news(&self, news: TableNews) {
         let rows = match news {
             TableNews::Snapshot(rows) => {
+                self.is_listed.set(true);
                 self.members.borrow_mut().clear();
                 rows
             }
@@ -122,6 +140,7 @@
                 _ => members.remove(&row.key),
             };
             if let Some(before) = before {
+                self.routes.borrow_mut().note_start(&before.vm);
                 self.endpoint.disconnect(&before.vm);
             }
         }
@@ -137,22 +156,40 @@
         if let Err(error) = self.endpoint.set_identity(&identity) {
             log::error!(error = error; "certificates of peers not accepted");
         }
+        self.routes.borrow_mut().set_members(&self.report_members());
         log::info!(members = self.member_count(); "members changed");
     }
 
-    fn send_report(&self, report: &LoadReport) {
-        let now = monotonic();
-        for member in self.members.borrow().values().filter(|member| member.vm != self.own.vm) {
-            if !self.endpoint.is_linked(&member.vm, member.address) {
-                let mut tried_at = self.tried_at.borrow_mut();
-                let last = tried_at.get(&member.vm).copied();
-                if last.is_some_and(|last| now < last + RECONNECT_PAUSE) {
-                    continue;
-                }
-                tried_at.insert(member.vm.clone(), now);
+    /// All VMs, this one included.
+    fn report_members(&self) -> Vec<ReportMember> {
+        let members = self.members.borrow();
+        let others = members.values().filter(|member| member.vm != self.own.vm);
+        let members = others.chain([&self.own]).map(|member| ReportMember {
+            vm: member.vm.clone(),
+            data_centre: member.data_centre.clone(),
+            capacity: member.capacity,
+        });
+        members.collect()
+    }
+
+    /// Encodes reports that go to several VMs.
+    pub(crate) fn encode(&self, news: LoadNews) -> bytes::Bytes {
+        self.endpoint.encode_datagram(&PeerDatagram::Load(news))
+    }
+
+    /// Sends reports to a VM, unless it could not be reached a moment ago.
+    pub(crate) fn send(&self, now: Duration, vm: &VmId, frames: &[bytes::Bytes]) {
+        let members = self.members.borrow();
+        let Some(member) = members.get(vm.as_str()) else { return };
+        if !self.endpoint.is_linked(&member.vm, member.address) {
+            let mut tried_at = self.tried_at.borrow_mut();
+            if tried_at.get(vm).is_some_and(|last| now < *last + RECONNECT_PAUSE) {
+                return;
             }
-            let datagram = PeerDatagram::Load(report.clone());
-            self.endpoint.send_datagram(&member.vm, member.address, datagram);
+            tried_at.insert(vm.clone(), now);
+        }
+        for frame in frames {
+            self.endpoint.send_frame(&member.vm, member.address, frame.clone());
         }
     }
 
@@ -175,8 +212,8 @@
     }
 
     fn datagram(&self, from: VmId, datagram: PeerDatagram) {
-        if let PeerDatagram::Load(report) = datagram {
-            self.0.take_report(&from, &report);
+        if let PeerDatagram::Load(news) = datagram {
+            self.0.take_load_news(&from, &news);
         }
     }
 }
@@ -187,9 +224,10 @@
         let events = Rc::new(GatewayPeerEvents(Rc::clone(self)));
         tokio::task::spawn_local(self.peering.endpoint.clone().serve(events));
         tokio::task::spawn_local(publish(Rc::clone(self)));
-        let follower = self.follow(MEMBER_TABLE, vec![String::new()]);
+        let follower = self.follow(MEMBER_TABLE, vec![String::new()], NewsUrgency::Prompt);
         tokio::task::spawn_local(follower.run(|core, news, _| core.peering.take_news(news)));
         tokio::task::spawn_local(report_load(Rc::clone(self)));
+        tokio::task::spawn_local(forward_reports(Rc::clone(self)));
     }
 
     /// Takes this VM out of the members, on a planned stop.
@@ -223,22 +261,3 @@
         tokio::time::sleep(PUBLISH_PAUSE).await;
     }
 }
-
-async fn report_load(core: Rc<GatewayCore>) {
-    let mut last = LoadReport::default();
-    let mut last_at = Duration::ZERO;
-    loop {
-        tokio::time::sleep(REPORT_INTERVAL).await;
-        let now = monotonic();
-        let mut report = core.load_report(core.peering.own.incarnation);
-        report.sequence = last.sequence;
-        if report == last && now < last_at + HEARTBEAT_INTERVAL {
-            continue;
-        }
-        report.sequence = core.peering.sequence.get() + 1;
-        core.peering.sequence.set(report.sequence);
-        core.peering.send_report(&report);
-        last = report;
-        last_at = now;
-    }
-}
--- a/crates/ebonydock/src/gateway/quota.rs
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -20,6 +20,7 @@
     level: f64,
     updated_at: Duration,
     own_spent: u64,
+    spent_at: Duration,
     /// Requests given back that no later spending has made up for: what is reported never goes back.
     refunded: u64,
     /// By VM its incarnation, with which its counter starts anew, and what it last said.
@@ -39,6 +40,7 @@
             level: 0.0,
             updated_at: now,
             own_spent: 0,
+            spent_at: Duration::ZERO,
             refunded: 0,
             reported: HashMap::new(),
         })
@@ -81,6 +83,7 @@
             bucket.refunded -= 1;
         } else {
             bucket.own_spent += 1;
+            bucket.spent_at = now;
         }
         Ok(())
     }
@@ -110,9 +113,10 @@
         bucket.level = (bucket.level - news).max(debt);
     }
 
-    /// What this VM has spent since its start.
-    pub fn spent(&self) -> Vec<SpentQuota> {
-        let spent = self.buckets.iter().filter(|(_, bucket)| bucket.own_spent > 0);
+    /// What this VM has spent since its start, for the workspaces that it spent for since a time.
+    pub fn spent(&self, since: Duration) -> Vec<SpentQuota> {
+        let recent = |bucket: &WorkspaceBucket| bucket.own_spent > 0 && bucket.spent_at >= since;
+        let spent = self.buckets.iter().filter(|(_, bucket)| recent(bucket));
         spent
             .map(|(workspace, bucket)| SpentQuota {
                 workspace: workspace.clone(),
--- /dev/null
+++ b/crates/ebonydock/src/gateway/report_routes.rs
@@ -0,0 +1,249 @@
+//! How load reports travel through a fleet.
+//!
+//! In a small fleet every VM reports to every other one, which costs connections and datagrams by the
+//! square of the fleet. In a larger one the VMs of a data centre form groups. A VM reports to two relays of
+//! its group; relays exchange the reports of their groups and pass all on to the VMs that report to
+//! them. A relay is any VM that others report to, so a silent one is replaced without an agreement.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::gateway::load::LoadReport;
+use crate::ids::{DataCentreId, VmId};
+
+/// Fleets up to this size report directly: relays would add a hop and save little.
+const DIRECT_FLEET: usize = 24;
+/// VMs of a group. A relay sends each of them all reports of the fleet.
+const GROUP_SIZE: usize = 24;
+/// Relays that a VM reports to, so that one may be lost without a gap.
+const RELAYS_PER_GROUP: usize = 2;
+/// A relay that was not heard for this long is replaced; it sends at least every 400 ms.
+const RELAY_SILENCE: Duration = Duration::from_millis(1200);
+/// A silent relay is sent a report this often beside those that replace it, and counts again once it
+/// was heard. Used in their place, lost relays would leave a gap each time.
+const PROBE_INTERVAL: Duration = Duration::from_millis(1500);
+/// A VM that has not asked for reports for this long gets none.
+const SUBSCRIPTION_LIFETIME: Duration = Duration::from_millis(1500);
+
+/// What the sender of a report wants to be told in return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReportInterest {
+    /// Nothing: it hears from all VMs directly.
+    Nothing,
+    /// Reports that the receiver has from the VMs themselves.
+    Group,
+    /// All reports.
+    All,
+}
+
+/// A VM that takes part in the exchange of reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ReportMember {
+    /// The VM.
+    pub(crate) vm: VmId,
+    /// Its data centre.
+    pub(crate) data_centre: DataCentreId,
+    /// Its processor share in thousandths of a core; the largest VMs of a group relay.
+    pub(crate) capacity: u32,
+}
+
+/// Reports to pass on, by their VMs.
+#[derive(Debug, Default)]
+pub(crate) struct ForwardRound {
+    /// Reports for relays of other groups: those that came from the VMs themselves.
+    pub(crate) group: Vec<(VmId, LoadReport)>,
+    /// Reports for the VMs that report here.
+    pub(crate) all: Vec<(VmId, LoadReport)>,
+}
+
+struct PendingReport {
+    report: LoadReport,
+    is_direct: bool,
+}
+
+/// Whom one VM reports to, and whose reports it passes on.
+pub(crate) struct ReportRoutes {
+    own: VmId,
+    /// The VMs of each group, the best relay first. The own group is the first one.
+    groups: Vec<Vec<VmId>>,
+    is_direct: bool,
+    heard_at: HashMap<VmId, Duration>,
+    /// Since when this VM reports to a relay.
+    reported_since: HashMap<VmId, Duration>,
+    /// Relays that fell silent, with the time of their next probe.
+    silent: HashMap<VmId, Duration>,
+    subscribers: HashMap<VmId, (ReportInterest, Duration)>,
+    pending: HashMap<VmId, PendingReport>,
+}
+
+impl ReportRoutes {
+    /// Routes of a VM that knows no other one yet.
+    pub(crate) fn open(own: &VmId) -> Self {
+        Self {
+            own: own.clone(),
+            groups: vec![vec![own.clone()]],
+            is_direct: true,
+            heard_at: HashMap::new(),
+            reported_since: HashMap::new(),
+            silent: HashMap::new(),
+            subscribers: HashMap::new(),
+            pending: HashMap::new(),
+        }
+    }
+
+    /// Sets the members of the fleet, the VM itself included.
+    pub(crate) fn set_members(&mut self, members: &[ReportMember]) {
+        let is_listed = |vm: &VmId| members.iter().any(|member| member.vm == *vm);
+        self.is_direct = members.len() <= DIRECT_FLEET;
+        self.groups = group_members(&self.own, members);
+        self.heard_at.retain(|vm, _| is_listed(vm));
+        self.silent.retain(|vm, _| is_listed(vm));
+        self.subscribers.retain(|vm, _| is_listed(vm));
+    }
+
+    /// Forgets that a VM was silent, because it has started anew.
+    pub(crate) fn note_start(&mut self, vm: &VmId) {
+        self.silent.remove(vm);
+        self.reported_since.remove(vm);
+    }
+
+    /// Notes that a VM was heard itself and what it wants to be told.
+    pub(crate) fn hear(&mut self, now: Duration, from: &VmId, interest: ReportInterest) {
+        self.heard_at.insert(from.clone(), now);
+        self.silent.remove(from);
+        // A relay that passes reports on keeps what it asked for with its own report.
+        if interest != ReportInterest::Nothing {
+            self.subscribers.insert(from.clone(), (interest, now));
+        }
+    }
+
+    /// Takes a new report to be passed on; `is_direct` if it came from its VM.
+    pub(crate) fn add(&mut self, now: Duration, vm: &VmId, report: &LoadReport, is_direct: bool) {
+        if self.subscribers(now).next().is_none() {
+            return;
+        }
+        let pending = PendingReport { report: report.clone(), is_direct };
+        self.pending.insert(vm.clone(), pending);
+    }
+
+    /// The reports to pass on.
+    pub(crate) fn take_round(&mut self) -> ForwardRound {
+        let mut round = ForwardRound::default();
+        for (vm, pending) in self.pending.drain() {
+            if pending.is_direct {
+                round.group.push((vm.clone(), pending.report.clone()));
+            }
+            round.all.push((vm, pending.report));
+        }
+        round
+    }
+
+    /// The VMs that want to be told reports.
+    pub(crate) fn subscribers(
+        &self,
+        now: Duration,
+    ) -> impl Iterator<Item = (&VmId, ReportInterest)> {
+        let current = self
+            .subscribers
+            .iter()
+            .filter(move |(_, (_, at))| now.saturating_sub(*at) <= SUBSCRIPTION_LIFETIME);
+        current.map(|(vm, (interest, _))| (vm, *interest))
+    }
+
+    /// The VMs to report to, with what this VM wants to be told by them.
+    pub(crate) fn receivers(&mut self, now: Duration) -> Vec<(VmId, ReportInterest)> {
+        if self.is_direct {
+            let others = self.groups.iter().flatten().filter(|vm| **vm != self.own);
+            return others.map(|vm| (vm.clone(), ReportInterest::Nothing)).collect();
+        }
+        self.find_silent(now);
+        let own_relays = self.relays(0);
+        let mut receivers = Vec::new();
+        if self.is_relay(now, &own_relays) {
+            let others = own_relays.into_iter().filter(|vm| *vm != self.own);
+            receivers.extend(others.map(|vm| (vm, ReportInterest::Nothing)));
+            for group in 1..self.groups.len() {
+                let relays = self.relays(group).into_iter();
+                receivers.extend(relays.map(|vm| (vm, ReportInterest::Group)));
+            }
+        } else {
+            receivers.extend(own_relays.into_iter().map(|vm| (vm, ReportInterest::All)));
+        }
+        let asked = receivers.iter().filter(|(_, interest)| *interest != ReportInterest::Nothing);
+        let asked: HashMap<VmId, Duration> = asked
+            .map(|(vm, _)| (vm.clone(), self.reported_since.get(vm).copied().unwrap_or(now)))
+            .collect();
+        self.reported_since = asked;
+        receivers.extend(self.probes(now));
+        receivers
+    }
+
+    /// The VMs at which a report waits on its way, its own included.
+    pub(crate) fn hops(&self) -> u32 {
+        if self.is_direct { 1 } else { 3 }
+    }
+
+    fn is_relay(&self, now: Duration, own_relays: &[VmId]) -> bool {
+        own_relays.contains(&self.own)
+            || self.subscribers(now).any(|(_, interest)| interest == ReportInterest::All)
+    }
+
+    fn relays(&self, group: usize) -> Vec<VmId> {
+        let relays = self.groups[group].iter().filter(|vm| !self.silent.contains_key(*vm));
+        relays.take(RELAYS_PER_GROUP).cloned().collect()
+    }
+
+    fn find_silent(&mut self, now: Duration) {
+        for (vm, since) in &self.reported_since {
+            let heard_at = self.heard_at.get(vm).copied().unwrap_or_default();
+            if now.saturating_sub(heard_at.max(*since)) > RELAY_SILENCE {
+                self.silent.insert(vm.clone(), now + PROBE_INTERVAL);
+            }
+        }
+    }
+
+    /// Silent relays whose probe is due.
+    fn probes(&mut self, now: Duration) -> Vec<(VmId, ReportInterest)> {
+        let mut probes = Vec::new();
+        for (vm, probe_at) in &mut self.silent {
+            if now >= *probe_at {
+                *probe_at = now + PROBE_INTERVAL;
+                let in_own_group = self.groups[0].contains(vm);
+                let interest =
+                    if in_own_group { ReportInterest::All } else { ReportInterest::Group };
+                probes.push((vm.clone(), interest));
+            }
+        }
+        probes
+    }
+}
+
+/// Splits the members into groups of one data centre each; the group of `own` comes first.
+fn group_members(own: &VmId, members: &[ReportMember]) -> Vec<Vec<VmId>> {
+    let mut data_centres: BTreeMap<&DataCentreId, Vec<&ReportMember>> = BTreeMap::new();
+    for member in members {
+        data_centres.entry(&member.data_centre).or_default().push(member);
+    }
+    let mut groups = Vec::new();
+    for mut listed in data_centres.into_values() {
+        // Dealt out in this order, every group has its part of the large VMs.
+        listed.sort_by_key(|member| {
+            (Reverse(member.capacity), xxh3_64(member.vm.as_str().as_bytes()))
+        });
+        let count = listed.len().div_ceil(GROUP_SIZE);
+        for group in 0..count {
+            let dealt = listed.iter().skip(group).step_by(count);
+            groups.push(dealt.map(|member| member.vm.clone()).collect::<Vec<_>>());
+        }
+    }
+    let Some(position) = groups.iter().position(|group| group.contains(own)) else {
+        groups.insert(0, vec![own.clone()]);
+        return groups;
+    };
+    groups.swap(0, position);
+    groups
+}
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -12,7 +12,9 @@
 use crate::gateway::board::PlacementBoard;
 use crate::gateway::catalog::{GatewayConfig, GatewayWorkspace, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
-use crate::gateway::followers::{ClosedListing, PlatformDialect, TableFollower, TargetListing};
+use crate::gateway::followers::{
+    ClosedListing, NewsUrgency, PlatformDialect, TableFollower, TargetListing,
+};
 use crate::gateway::handle::GatewaySettings;
 use crate::gateway::job_desk::JobDesk;
 use crate::gateway::leases::{LeaseBook, advance_waiting, balance};
@@ -25,6 +27,10 @@
 use crate::ids::{TargetId, VmId, WorkspaceId};
 use crate::platform::rows::RowStore;
 
+/// The part of each quota that a VM may spend before it knows the other VMs.
+const SHARE_OF_UNKNOWN_FLEET: f64 = 0.01;
+/// What was spent is reported again for this long, since reports may be lost.
+const QUOTA_REPEAT: Duration = Duration::from_secs(1);
 /// Reports of other VMs and lapsed targets expire by this tick.
 const EXPIRY_TICK: Duration = Duration::from_millis(200);
 
@@ -71,7 +77,7 @@
         connections: ConnectionPool,
     ) -> Result<Rc<Self>, String> {
         let incarnation = rand::random();
-        let peering = GatewayPeering::bind(&settings.vm, incarnation, settings.peers)?;
+        let peering = GatewayPeering::bind(&settings, incarnation)?;
         let core = Rc::new(Self {
             board: RefCell::new(PlacementBoard::open(&settings.data_centre)),
             settings,
@@ -160,8 +166,9 @@
         self: &Rc<Self>,
         table: &'static str,
         parts: Vec<String>,
+        urgency: NewsUrgency,
     ) -> TableFollower {
-        TableFollower::open(self, table, parts, Rc::clone(&self.heard_store))
+        TableFollower::open(self, table, parts, urgency, Rc::clone(&self.heard_store))
     }
 
     pub(crate) fn heard_store_within(&self, age: Duration) -> bool {
@@ -186,7 +193,8 @@
 
     fn spawn_followers(self: &Rc<Self>) {
         let root = vec![String::new()];
-        let operators = self.follow(self.dialect.operator_table(), root.clone());
+        let operators =
+            self.follow(self.dialect.operator_table(), root.clone(), NewsUrgency::Prompt);
         tokio::task::spawn_local(operators.run(|core, news, _| {
             let newest = core.closed.borrow_mut().apply(&*core.dialect, news);
             core.board.borrow_mut().set_closed(core.closed.borrow().data_centres());
@@ -194,7 +202,7 @@
                 core.apply_config(config);
             }
         }));
-        let targets = self.follow(self.dialect.target_table(), root);
+        let targets = self.follow(self.dialect.target_table(), root, NewsUrgency::Prompt);
         tokio::task::spawn_local(targets.run(|core, news, back_at| {
             let now = monotonic();
             core.listing.borrow_mut().apply(&*core.dialect, news, back_at, now);
@@ -231,9 +239,9 @@
 
     /// The part of all VMs that this one hears from, itself included.
     fn heard_share(&self) -> f64 {
+        let Some(members) = self.peering.known_members() else { return SHARE_OF_UNKNOWN_FLEET };
         let heard = self.board.borrow().heard() + 1;
-        let members = self.peering.member_count();
-        (heard as f64 / members.max(1) as f64).min(1.0)
+        (heard as f64 / members as f64).min(1.0)
     }
 
     pub(crate) fn spend_quota(&self, workspace: &GatewayWorkspace) -> Result<(), Duration> {
@@ -247,21 +255,28 @@
         self.quotas.borrow_mut().refund(monotonic(), workspace);
     }
 
-    /// Takes the report of another VM.
-    pub(crate) fn take_report(self: &Rc<Self>, vm: &VmId, report: &LoadReport) {
+    /// Takes reports of other VMs and returns those that are new.
+    pub(crate) fn take_reports<'a>(
+        self: &Rc<Self>,
+        reports: &'a [(VmId, LoadReport)],
+    ) -> Vec<&'a (VmId, LoadReport)> {
         let now = monotonic();
-        if !self.board.borrow_mut().observe(now, vm, report) {
-            return;
+        let news = self.board.borrow_mut().observe(now, reports);
+        if news.is_empty() {
+            return news;
         }
         let catalog = self.catalog();
         let mut quotas = self.quotas.borrow_mut();
-        for spent in &report.quotas {
-            let rate = catalog.as_ref().and_then(|catalog| catalog.workspace(&spent.workspace));
-            let rate = rate.map_or(0.0, |workspace| workspace.rate);
-            quotas.observe(now, (vm, report.incarnation), spent, rate);
+        for (vm, report) in &news {
+            for spent in &report.quotas {
+                let rate = catalog.as_ref().and_then(|catalog| catalog.workspace(&spent.workspace));
+                let rate = rate.map_or(0.0, |workspace| workspace.rate);
+                quotas.observe(now, (vm, report.incarnation), spent, rate);
+            }
         }
         drop(quotas);
         self.advance();
+        news
     }
 
     /// What this VM tells the others.
@@ -271,7 +286,7 @@
             incarnation,
             sequence: 0,
             targets,
-            quotas: self.quotas.borrow().spent(),
+            quotas: self.quotas.borrow().spent(monotonic().saturating_sub(QUOTA_REPEAT)),
             waiting,
         }
     }
@@ -285,8 +300,11 @@
         for vm in &silent {
             log::warn!(vm = vm.as_str(); "peer lost");
         }
-        let members = core.peering.member_count();
-        core.board.borrow_mut().set_fleet_size(members);
+        if let Some(members) = core.peering.known_members() {
+            let mut board = core.board.borrow_mut();
+            board.set_fleet_size(members);
+            board.set_report_age(core.report_age());
+        }
         if core.listing.borrow_mut().expire(now) {
             core.refresh_targets();
         }
--- a/crates/ebonydock/src/gateway/slots.rs
+++ b/crates/ebonydock/src/gateway/slots.rs
@@ -63,8 +63,12 @@
     /// Requests and items of other VMs, and the items among them.
     pub(crate) reported: u32,
     pub(crate) reported_batch: u32,
+    cold_since: Duration,
     cold_until: Duration,
     cold_next: Duration,
+    /// The part of this VM's interval between requests that it lets pass before the first one: what the
+    /// target bears in cold start is the sum over all VMs.
+    cold_offset: f64,
     suspect_until: Duration,
     failures: u32,
     misdirected: bool,
@@ -75,8 +79,10 @@
     pub(crate) fn open(target: ServingTarget, now: Duration) -> Self {
         Self {
             hash: target_hash(&target.id),
+            cold_since: now,
             cold_until: now + target.cold_for,
             cold_next: now,
+            cold_offset: rand::random(),
             target,
             online: 0,
             batch: 0,
@@ -91,6 +97,10 @@
     /// Takes a new listing of the same start.
     pub(crate) fn update(&mut self, target: ServingTarget, now: Duration) {
         if self.target != target {
+            if now >= self.cold_until {
+                self.cold_since = now;
+                self.cold_offset = rand::random();
+            }
             self.cold_until = now + target.cold_for;
             self.target = target;
         }
@@ -128,9 +138,14 @@
         self.is_open(closed) && is_trusted && now >= self.suspect_until
     }
 
-    /// Whether this VM has spent its share of what the target bears in cold start.
-    pub(crate) fn is_cold_limited(&self, now: Duration) -> bool {
-        now < self.cold_until && now < self.cold_next
+    /// Whether this VM has spent its share of what the target bears in cold start: `cold_rate` in requests
+    /// a second; 0 means no limit.
+    pub(crate) fn is_cold_limited(&self, now: Duration, cold_rate: f64) -> bool {
+        if cold_rate <= 0.0 || now >= self.cold_until {
+            return false;
+        }
+        let offset = Duration::from_secs_f64(self.cold_offset / cold_rate);
+        now < self.cold_next.max(self.cold_since + offset)
     }
 
     /// Takes a slot. `cold_rate` is this VM's share of what a cold target bears, in requests a second; 0
--- a/crates/ebonydock/src/gateway/tests/board.rs
+++ b/crates/ebonydock/src/gateway/tests/board.rs
@@ -93,17 +93,25 @@
 fn what_other_vms_report_takes_slots() {
     let mut board = board_of(vec![target("t", "a")]);
     let vm = VmId::from("other");
-    assert!(board.observe(ms(0), &vm, &report(1, 2, &[("t", 5, 3)])));
+    let news = |report| [(vm.clone(), report)];
+    assert_eq!(board.observe(ms(0), &news(report(1, 2, &[("t", 5, 3)]))).len(), 1);
     waiting(board.request(ms(0), online(0)));
-    assert!(!board.observe(ms(1), &vm, &report(1, 1, &[])), "an overtaken report counts");
-    assert!(board.observe(ms(2), &vm, &report(2, 1, &[])), "a new incarnation starts anew");
+    assert!(
+        board.observe(ms(1), &news(report(1, 1, &[]))).is_empty(),
+        "an overtaken report counts"
+    );
+    assert_eq!(
+        board.observe(ms(2), &news(report(2, 1, &[]))).len(),
+        1,
+        "a new incarnation starts anew"
+    );
     assert_eq!(board.advance(ms(3)).len(), 1);
 }
 
 #[test]
 fn a_silent_vm_is_forgotten_with_its_load() {
     let mut board = board_of(vec![target("t", "a")]);
-    board.observe(ms(0), &VmId::from("other"), &report(1, 1, &[("t", 8, 0)]));
+    board.observe(ms(0), &[(VmId::from("other"), report(1, 1, &[("t", 8, 0)]))]);
     waiting(board.request(ms(0), online(0)));
     assert!(board.expire_reports(ms(1000)).is_empty());
     assert_eq!(board.expire_reports(ms(1600)), [VmId::from("other")]);
@@ -180,6 +188,35 @@
     assert!((4..=5).contains(&sent), "{sent}");
 }
 
+#[test]
+fn a_fleet_sends_a_target_in_cold_start_no_more_than_it_bears() {
+    // Every VM of a fleet of 85 has requests for a target that bears 13 a second.
+    let bears = 13.0;
+    let mut cold = target("t", "a");
+    cold.cold_for = ms(3000);
+    cold.slots = 1000;
+    let mut boards: Vec<PlacementBoard> = (0..85).map(|_| board_of(vec![cold.clone()])).collect();
+    for board in &mut boards {
+        board.set_cold_rates(HashMap::from([(ServiceName::from("llm"), bears)]));
+        board.set_fleet_size(85);
+    }
+    let mut sent = Vec::new();
+    for tick in 0..300 {
+        let now = ms(tick * 10);
+        for board in &mut boards {
+            let at_once =
+                matches!(board.request(now, online(tick * 10)), PlacementOutcome::Placed(_));
+            let later = board.advance(now).iter().filter(|(.., outcome)| outcome.is_ok()).count();
+            sent.extend(std::iter::repeat_n(tick, later + usize::from(at_once)));
+        }
+    }
+    let most = bears * 1.5 + 5.0;
+    for start in 0..200 {
+        let count = sent.iter().filter(|tick| (start..start + 100).contains(*tick)).count();
+        assert!((count as f64) <= most, "{count} of {most} from {start}");
+    }
+}
+
 #[test]
 fn online_goes_before_batch_and_the_longest_waiting_first() {
     let mut board = board_of(vec![target("t", "a")]);
--- a/crates/ebonydock/src/gateway/tests/decisions.rs
+++ b/crates/ebonydock/src/gateway/tests/decisions.rs
@@ -42,7 +42,9 @@
         if tick % REPORT_LAG == 0 {
             let spent: Vec<u64> = ledgers
                 .iter()
-                .map(|ledger| ledger.spent().first().map_or(0, |spent| spent.requests))
+                .map(|ledger| {
+                    ledger.spent(Duration::ZERO).first().map_or(0, |spent| spent.requests)
+                })
                 .collect();
             for (vm, ledger) in ledgers.iter_mut().enumerate() {
                 for (other, spent) in spent.iter().enumerate().filter(|(other, _)| *other != vm) {
--- /dev/null
+++ b/crates/ebonydock/src/gateway/tests/emulator.rs
@@ -0,0 +1,326 @@
+//! Emulated fleets: VMs that place requests by their own boards, with late reports, and model engines
+//! that run what they are sent in order of arrival. Time goes in ticks; no clock and no network.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::gateway::board::{PlacementBoard, PlacementOutcome};
+use crate::gateway::load::LoadReport;
+use crate::gateway::slots::{ServingTarget, SlotUse};
+use crate::gateway::wait_queue::{SlotNeed, SlotWaiter};
+use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::scheduling::RequestClass;
+
+const TICK_MS: u64 = 5;
+/// The time of a target up to the first event.
+const FIRST_EVENT_MS: u64 = 30;
+/// Batch is balanced this often, as the gateway does it.
+const BALANCE_TICKS: u64 = 8;
+
+/// A site and its load.
+#[derive(Clone, Debug)]
+pub(super) struct EmulatedSite {
+    pub(super) vms: usize,
+    pub(super) targets: usize,
+    pub(super) data_centres: usize,
+    pub(super) slots: u32,
+    /// Online requests a second at the mean.
+    pub(super) online_per_s: f64,
+    pub(super) online_ms: u64,
+    pub(super) batch_ms: u64,
+    /// Batch items that are always left to run at each VM.
+    pub(super) batch_backlog: usize,
+    pub(super) report_every_ms: u64,
+    pub(super) report_delay_ms: u64,
+    pub(super) aim_ms: u64,
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct EmulatedOutcome {
+    pub(super) asked: u32,
+    pub(super) in_aim: u32,
+    pub(super) refused: u32,
+    pub(super) late: u32,
+    /// Seconds of slots that batch items used.
+    pub(super) batch_s: f64,
+    /// Batch items that had to yield.
+    pub(super) yielded: u32,
+}
+
+impl EmulatedOutcome {
+    pub(super) fn share_in_aim(&self) -> f64 {
+        f64::from(self.in_aim) / f64::from(self.asked.max(1))
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+struct RequestNumber(u64);
+
+struct RunningRequest {
+    vm: usize,
+    target: TargetId,
+    class: RequestClass,
+    arrived_ms: u64,
+    /// Set once the target works on it.
+    ends_ms: Option<u64>,
+}
+
+struct EmulatedVm {
+    name: VmId,
+    board: PlacementBoard,
+    waiting: HashMap<SlotWaiter, (RequestClass, u64)>,
+    sequence: u64,
+}
+
+struct EmulatedTarget {
+    running: u32,
+    queue: VecDeque<RequestNumber>,
+}
+
+/// A site while it is played.
+pub(super) struct SiteEmulator {
+    site: EmulatedSite,
+    random: StdRng,
+    now_ms: u64,
+    vms: Vec<EmulatedVm>,
+    targets: BTreeMap<TargetId, EmulatedTarget>,
+    requests: BTreeMap<RequestNumber, RunningRequest>,
+    next_request: u64,
+    reports: VecDeque<(u64, Vec<(VmId, LoadReport)>)>,
+    outcome: EmulatedOutcome,
+}
+
+fn service() -> ServiceName {
+    ServiceName::from("llm")
+}
+
+impl SiteEmulator {
+    pub(super) fn open(site: EmulatedSite, seed: u64) -> Self {
+        let data_centre =
+            |number: usize| DataCentreId::from(format!("dc{}", number % site.data_centres));
+        let listed: Vec<ServingTarget> = (0..site.targets)
+            .map(|number| ServingTarget {
+                id: TargetId::from(format!("t{number}")),
+                started_at_ms: 0,
+                service: service(),
+                address: ([127, 0, 0, 1], 1).into(),
+                data_centre: data_centre(number),
+                slots: site.slots,
+                leaving: false,
+                cold_for: Duration::ZERO,
+            })
+            .collect();
+        let vms = (0..site.vms).map(|number| {
+            let mut board = PlacementBoard::open(&data_centre(number));
+            board.set_targets(Duration::ZERO, listed.clone());
+            board.set_report_age(Duration::from_millis(
+                site.report_every_ms / 2 + site.report_delay_ms,
+            ));
+            let name = VmId::from(format!("vm{number}"));
+            EmulatedVm { name, board, waiting: HashMap::new(), sequence: 0 }
+        });
+        let targets = listed.iter().map(|target| {
+            (target.id.clone(), EmulatedTarget { running: 0, queue: VecDeque::new() })
+        });
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            vms: vms.collect(),
+            targets: targets.collect(),
+            requests: BTreeMap::new(),
+            next_request: 0,
+            reports: VecDeque::new(),
+            outcome: EmulatedOutcome::default(),
+            site,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        Duration::from_millis(self.now_ms)
+    }
+
+    /// Online load as a part of its mean: a little for 3.4 s, then nearly twice the mean for 2.4 s.
+    fn load_factor(&self) -> f64 {
+        if self.now_ms % 5800 < 3400 { 0.383 } else { 1.87 }
+    }
+
+    fn ask(&mut self, vm: usize, class: RequestClass) {
+        let now = self.now();
+        let is_online = class == RequestClass::Online;
+        let place_within = if is_online { self.site.aim_ms * 7 / 10 } else { 60_000 };
+        let need = SlotNeed {
+            service: service(),
+            class,
+            rank: if is_online { 0 } else { 2 },
+            prefix: None,
+            excluded: Vec::new(),
+            order: now,
+            place_by: now + Duration::from_millis(place_within),
+            urgent_at: None,
+        };
+        self.outcome.asked += u32::from(is_online);
+        match self.vms[vm].board.request(now, need) {
+            PlacementOutcome::Placed(target) => self.send(vm, &target, class, self.now_ms),
+            PlacementOutcome::Waiting(waiter) => {
+                self.vms[vm].waiting.insert(waiter, (class, self.now_ms));
+            }
+            PlacementOutcome::Refused(_) => self.outcome.refused += u32::from(is_online),
+        }
+    }
+
+    fn send(&mut self, vm: usize, target: &TargetId, class: RequestClass, arrived_ms: u64) {
+        let number = RequestNumber(self.next_request);
+        self.next_request += 1;
+        let request =
+            RunningRequest { vm, target: target.clone(), class, arrived_ms, ends_ms: None };
+        self.requests.insert(number, request);
+        if let Some(emulated) = self.targets.get_mut(target) {
+            emulated.queue.push_back(number);
+        }
+        self.start_queued(target);
+    }
+
+    fn start_queued(&mut self, target: &TargetId) {
+        let Some(emulated) = self.targets.get_mut(target) else { return };
+        while emulated.running < self.site.slots
+            && let Some(number) = emulated.queue.pop_front()
+        {
+            let Some(request) = self.requests.get_mut(&number) else { continue };
+            emulated.running += 1;
+            let takes = match request.class {
+                RequestClass::Online => self.site.online_ms,
+                RequestClass::Batch => self.site.batch_ms,
+            };
+            let length = self.random.random_range(0.7..1.3);
+            request.ends_ms = Some(self.now_ms + (takes as f64 * length) as u64);
+            if request.class == RequestClass::Online {
+                let first = self.now_ms + FIRST_EVENT_MS - request.arrived_ms;
+                let in_aim = first <= self.site.aim_ms;
+                self.outcome.in_aim += u32::from(in_aim);
+                self.outcome.late += u32::from(!in_aim);
+            }
+        }
+    }
+
+    fn end(&mut self, number: RequestNumber, usage: SlotUse) {
+        let Some(request) = self.requests.remove(&number) else { return };
+        let now = self.now();
+        self.vms[request.vm].board.release(now, &request.target, request.class, usage);
+        if request.ends_ms.is_some()
+            && let Some(target) = self.targets.get_mut(&request.target)
+        {
+            target.running -= 1;
+        }
+        self.start_queued(&request.target);
+    }
+
+    fn advance(&mut self, vm: usize) {
+        let now = self.now();
+        for (waiter, class, outcome) in self.vms[vm].board.advance(now) {
+            let Some((_, arrived_ms)) = self.vms[vm].waiting.remove(&waiter) else { continue };
+            match outcome {
+                Ok(target) => self.send(vm, &target, class, arrived_ms),
+                Err(_) => self.outcome.refused += u32::from(class == RequestClass::Online),
+            }
+        }
+    }
+
+    fn balance(&mut self, vm: usize) {
+        let now = self.now();
+        for excess in self.vms[vm].board.balance_batch(now) {
+            let own = self
+                .requests
+                .iter()
+                .filter(|(_, request)| request.vm == vm && request.class == RequestClass::Batch);
+            let yielding: Vec<RequestNumber> =
+                own.map(|(number, _)| *number).take(excess.items as usize).collect();
+            self.outcome.yielded += yielding.len() as u32;
+            for number in yielding {
+                self.end(number, SlotUse::Cancelled);
+            }
+        }
+    }
+
+    fn keep_backlog(&mut self, vm: usize) {
+        let waiting = self.vms[vm].waiting.values();
+        let batch = waiting.filter(|(class, _)| *class == RequestClass::Batch).count();
+        for _ in batch..self.site.batch_backlog {
+            self.ask(vm, RequestClass::Batch);
+        }
+    }
+
+    fn exchange_reports(&mut self) {
+        if self.now_ms.is_multiple_of(self.site.report_every_ms) {
+            let reports = self.vms.iter_mut().map(|vm| {
+                vm.sequence += 1;
+                let (targets, waiting) = vm.board.report();
+                let report = LoadReport {
+                    incarnation: 1,
+                    sequence: vm.sequence,
+                    targets,
+                    waiting,
+                    ..LoadReport::default()
+                };
+                (vm.name.clone(), report)
+            });
+            let reports = reports.collect();
+            self.reports.push_back((self.now_ms + self.site.report_delay_ms, reports));
+        }
+        while self.reports.front().is_some_and(|(at, _)| *at <= self.now_ms) {
+            let Some((_, reports)) = self.reports.pop_front() else { return };
+            let now = self.now();
+            for vm in &mut self.vms {
+                let others: Vec<_> =
+                    reports.iter().filter(|(name, _)| *name != vm.name).cloned().collect();
+                vm.board.observe(now, &others);
+            }
+        }
+    }
+
+    /// Plays the site and returns what callers got in the part behind the warm-up.
+    pub(super) fn play(mut self, warm_up_ms: u64, length_ms: u64) -> EmulatedOutcome {
+        while self.now_ms < warm_up_ms + length_ms {
+            if self.now_ms == warm_up_ms {
+                self.outcome = EmulatedOutcome::default();
+            }
+            self.tick();
+            self.now_ms += TICK_MS;
+        }
+        self.outcome
+    }
+
+    fn tick(&mut self) {
+        let ended = self
+            .requests
+            .iter()
+            .filter(|(_, request)| request.ends_ms.is_some_and(|ends_ms| ends_ms <= self.now_ms));
+        let ended: Vec<RequestNumber> = ended.map(|(number, _)| *number).collect();
+        for number in ended {
+            self.end(number, SlotUse::Answered);
+        }
+        self.exchange_reports();
+        let expected = self.site.online_per_s * self.load_factor() * TICK_MS as f64 / 1000.0;
+        let arrivals = (expected + self.random.random::<f64>()).floor() as usize;
+        for _ in 0..arrivals {
+            let vm = self.random.random_range(0..self.site.vms);
+            self.ask(vm, RequestClass::Online);
+        }
+        for vm in 0..self.site.vms {
+            // VMs do not look at the fleet at the same moment.
+            if (self.now_ms / TICK_MS + vm as u64).is_multiple_of(BALANCE_TICKS) {
+                self.balance(vm);
+            }
+            self.keep_backlog(vm);
+            self.advance(vm);
+        }
+        let batch = self
+            .requests
+            .values()
+            .filter(|request| request.class == RequestClass::Batch && request.ends_ms.is_some());
+        self.outcome.batch_s += batch.count() as f64 * TICK_MS as f64 / 1000.0;
+    }
+}
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -379,6 +379,7 @@
         let settings = GatewaySettings {
             vm: VmId::from(vm),
             data_centre: DataCentreId::from("a"),
+            capacity: 1000,
             peers: "127.0.0.1:0".parse().unwrap(),
             results_kept: Duration::from_mins(2),
             stop_within: Duration::from_secs(7),
--- a/crates/ebonydock/src/gateway/wait_queue.rs
+++ b/crates/ebonydock/src/gateway/wait_queue.rs
@@ -146,6 +146,11 @@
         self.window_placed += 1;
     }
 
+    /// Placements a second, lately.
+    pub(crate) fn placed_per_s(&self) -> f64 {
+        self.placed_per_s
+    }
+
     /// How long a request with so many ahead of it will wait, as far as can be told.
     pub(crate) fn expected_wait(&self, ahead: usize) -> Option<Duration> {
         if self.placed_per_s <= 0.0 {
--- a/crates/ebonydock/src/peers/endpoint.rs
+++ b/crates/ebonydock/src/peers/endpoint.rs
@@ -11,6 +11,7 @@
 use quinn::{Connection, Endpoint};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::sync::mpsc;
 
 use crate::ids::VmId;
 use crate::peers::messages::{Envelope, PeerDatagram, PeerReply, PeerRequest};
@@ -53,6 +54,9 @@
     connecting: Arc<tokio::sync::Mutex<()>>,
     client: Arc<Mutex<Option<quinn::ClientConfig>>>,
     counters: Arc<TrafficCounters>,
+    /// Connections that this endpoint made, which carry messages of the other side too.
+    made: mpsc::UnboundedSender<Connection>,
+    to_serve: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<Connection>>>,
 }
 
 impl PeerEndpoint {
@@ -65,6 +69,7 @@
         let endpoint = Endpoint::server(identity.server_config()?, address)
             .map_err(|error| format!("cannot bind `{address}`: {error}"))?;
         let client = Arc::new(Mutex::new(Some(identity.client_config()?)));
+        let (made, to_serve) = mpsc::unbounded_channel();
         Ok(Self {
             vm: vm.clone(),
             endpoint,
@@ -72,6 +77,8 @@
             connecting: Arc::default(),
             client,
             counters: Arc::default(),
+            made,
+            to_serve: Arc::new(tokio::sync::Mutex::new(to_serve)),
         })
     }
 
@@ -95,15 +102,25 @@
         self.endpoint.local_addr().map_err(|error| error.to_string())
     }
 
-    /// Accepts connections until the endpoint is closed.
+    /// Serves connections, accepted and made, until the endpoint is closed.
     pub(crate) async fn serve(self, events: Rc<dyn PeerEvents>) {
-        while let Some(incoming) = self.endpoint.accept().await {
+        let mut made = self.to_serve.lock().await;
+        loop {
+            let endpoint = self.clone();
             let events = Rc::clone(&events);
-            ntex::rt::spawn(async move {
-                if let Ok(connection) = incoming.await {
-                    serve_connection(connection, events).await;
+            tokio::select! {
+                incoming = self.endpoint.accept() => {
+                    let Some(incoming) = incoming else { return };
+                    ntex::rt::spawn(async move {
+                        if let Ok(connection) = incoming.await {
+                            endpoint.serve_connection(connection, events).await;
+                        }
+                    });
                 }
-            });
+                Some(connection) = made.recv() => {
+                    ntex::rt::spawn(endpoint.serve_connection(connection, events));
+                }
+            }
         }
     }
 
@@ -125,18 +142,26 @@
     }
 
     /// Sends a datagram if a connection is open; opens one in the background otherwise.
-    pub(crate) fn send_datagram(&self, vm: &VmId, address: SocketAddr, datagram: PeerDatagram) {
+    pub(crate) fn send_datagram(&self, vm: &VmId, address: SocketAddr, datagram: &PeerDatagram) {
+        self.send_frame(vm, address, self.encode(datagram).into());
+    }
+
+    /// Encodes a datagram that goes to several VMs.
+    pub(crate) fn encode_datagram(&self, datagram: &PeerDatagram) -> bytes::Bytes {
+        self.encode(datagram).into()
+    }
+
+    /// Sends an encoded datagram like [`Self::send_datagram`].
+    pub(crate) fn send_frame(&self, vm: &VmId, address: SocketAddr, frame: bytes::Bytes) {
         if let Some(connection) = self.open_link(vm, address) {
-            let frame = self.encode(datagram);
-            let _ = connection.send_datagram(frame.into());
+            let _ = connection.send_datagram(frame);
             return;
         }
         let endpoint = self.clone();
         let vm = vm.clone();
         ntex::rt::spawn(async move {
             if let Ok(connection) = endpoint.connection(&vm, address).await {
-                let frame = endpoint.encode(datagram);
-                let _ = connection.send_datagram(frame.into());
+                let _ = connection.send_datagram(frame);
             }
         });
     }
@@ -204,8 +229,43 @@
         }
         let link = PeerLink { address, connection: connection.clone() };
         self.links.lock().unwrap_or_else(PoisonError::into_inner).insert(vm.clone(), link);
+        // An endpoint that does not serve takes no messages.
+        let _ = self.made.send(connection.clone());
         Ok(connection)
     }
+
+    /// Keeps a connection that another VM made for messages to it, if there is none yet.
+    fn keep_link(&self, vm: &VmId, connection: &Connection) {
+        let address = connection.remote_address();
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let usable = links.get(vm).is_some_and(|link| {
+            link.address == address && link.connection.close_reason().is_none()
+        });
+        if !usable {
+            links.insert(vm.clone(), PeerLink { address, connection: connection.clone() });
+        }
+    }
+
+    async fn serve_connection(self, connection: Connection, events: Rc<dyn PeerEvents>) {
+        loop {
+            tokio::select! {
+                stream = connection.accept_bi() => {
+                    let Ok((send, receive)) = stream else { return };
+                    ntex::rt::spawn(serve_request(send, receive, Rc::clone(&events)));
+                }
+                datagram = connection.read_datagram() => {
+                    let Ok(datagram) = datagram else { return };
+                    match decode::<Envelope<PeerDatagram>>(&datagram) {
+                        Ok(envelope) => {
+                            self.keep_link(&envelope.from, &connection);
+                            events.datagram(envelope.from, envelope.body);
+                        }
+                        Err(error) => log::warn!("peers: Dropped a datagram: {error}."),
+                    }
+                }
+            }
+        }
+    }
 }
 
 async fn exchange(connection: &Connection, frame: &[u8]) -> Result<PeerReply, String> {
@@ -220,24 +280,6 @@
     postcard::from_bytes(frame).map_err(|error| format!("unreadable message: {error}"))
 }
 
-async fn serve_connection(connection: Connection, events: Rc<dyn PeerEvents>) {
-    loop {
-        tokio::select! {
-            stream = connection.accept_bi() => {
-                let Ok((send, receive)) = stream else { return };
-                ntex::rt::spawn(serve_request(send, receive, Rc::clone(&events)));
-            }
-            datagram = connection.read_datagram() => {
-                let Ok(datagram) = datagram else { return };
-                match decode::<Envelope<PeerDatagram>>(&datagram) {
-                    Ok(envelope) => events.datagram(envelope.from, envelope.body),
-                    Err(error) => log::warn!("peers: Dropped a datagram: {error}."),
-                }
-            }
-        }
-    }
-}
-
 async fn serve_request(
     mut send: quinn::SendStream,
     mut receive: quinn::RecvStream,
--- a/crates/ebonydock/src/peers/messages.rs
+++ b/crates/ebonydock/src/peers/messages.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::messages::{ChangeBatch, ChangeQuery, ChangeReply};
-use crate::gateway::LoadReport;
+use crate::gateway::LoadNews;
 use crate::ids::VmId;
 use crate::jobs::messages::{ChunkOrder, ChunkReport, JobSignal};
 use crate::limits::messages::{BucketHandover, GrantReply, GrantRequest};
@@ -81,6 +81,6 @@
 pub enum PeerDatagram {
     /// A sign of life inside a data centre.
     Heartbeat(Heartbeat),
-    /// The load that a VM puts on targets and quotas.
-    Load(LoadReport),
+    /// The load that VMs put on targets and quotas.
+    Load(LoadNews),
 }
--- a/crates/ebonydock/src/vm/tasks.rs
+++ b/crates/ebonydock/src/vm/tasks.rs
@@ -87,7 +87,7 @@
             phase,
             pools: pools.clone(),
         };
-        shared.peers.send_datagram(&vm, address, PeerDatagram::Heartbeat(heartbeat));
+        shared.peers.send_datagram(&vm, address, &PeerDatagram::Heartbeat(heartbeat));
     }
 }
 
