--- a/crates/ebonydock_cli/src/commands.rs
+++ b/crates/ebonydock_cli/src/commands.rs
@@ -7,6 +7,7 @@
 use ntex::client::Client;
 use serde::de::DeserializeOwned;
 
+use crate::explain::explain;
 use crate::options::{CommandOptions, USAGE};
 use crate::output;
 
@@ -21,8 +22,15 @@
 
 /// Runs the command that the options name.
 pub(crate) async fn run(options: &CommandOptions) -> Result<(), String> {
-    let client = OperatorClient::open(options).await?;
     let words: Vec<&str> = options.words.iter().map(String::as_str).collect();
+    if let ["explain", id, files @ ..] = words.as_slice() {
+        if files.is_empty() {
+            return Err("`explain` needs the logs of one VM or more".to_owned());
+        }
+        print!("{}", explain(id, files)?);
+        return Ok(());
+    }
+    let client = OperatorClient::open(options).await?;
     match words.as_slice() {
         ["status"] => client.show::<StatusReply>("status", output::status).await,
         ["jobs"] => client.show::<serde_json::Value>("jobs", output::jobs).await,
@@ -76,9 +84,13 @@
         Ok(Self { client: client.map_err(|error| error.to_string())?, options })
     }
 
+    fn key(&self) -> &str {
+        self.options.key.as_deref().unwrap_or_default()
+    }
+
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, String> {
         let url = format!("http://{}/operator/v1/{path}", self.options.address);
-        let request = self.client.get(url).header("x-operator-key", self.options.key.as_str());
+        let request = self.client.get(url).header("x-operator-key", self.key());
         let response = request.send().await.map_err(|error| self.unreachable(&error))?;
         read_reply(&response).await
     }
@@ -103,7 +115,7 @@
             None => self.get::<ConfigReply>("config").await?.version,
         };
         let url = format!("http://{}/operator/v1/changes", self.options.address);
-        let request = self.client.post(url).header("x-operator-key", self.options.key.as_str());
+        let request = self.client.post(url).header("x-operator-key", self.key());
         let body = EditBody { base_version, changes };
         let response = request.send_json(&body).await.map_err(|error| self.unreachable(&error))?;
         let reply: EditReply = read_reply(&response).await?;
--- a/crates/ebonydock_cli/src/main.rs
+++ b/crates/ebonydock_cli/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command.
 
 mod commands;
+mod explain;
 mod options;
 mod output;
 
--- a/crates/ebonydock_cli/src/options.rs
+++ b/crates/ebonydock_cli/src/options.rs
@@ -20,8 +20,9 @@
   keys withdraw KEY-OR-HASH          withdraw a key
   data-centre out NAME               take a data centre out of service
   data-centre back NAME              bring a data centre back
+  explain ID FILE...                 what became of a request, item or job, by the logs of VMs
 
-The operators' key is read from --key-file or from EBONYDOCK_OPERATOR_KEY.
+The operators' key is read from --key-file or from EBONYDOCK_OPERATOR_KEY; `explain` needs none.
 With --base VERSION an edit fails if the configuration has changed since that version.
 ";
 
@@ -32,8 +33,8 @@
 pub(crate) struct CommandOptions {
     /// The address for operators of some VM.
     pub(crate) address: String,
-    /// The operators' key.
-    pub(crate) key: String,
+    /// The operators' key; `None` for commands that ask no VM.
+    pub(crate) key: Option<String>,
     /// Whether to print JSON.
     pub(crate) json: bool,
     /// The version that an edit is based on; the current one if `None`.
@@ -62,9 +63,11 @@
         let base = matches.opt_str("base").map(|text| {
             text.parse().map_err(|_| format!("`--base` must be a whole number, not `{text}`"))
         });
+        let asks_vm = matches.free[0] != "explain";
+        let key = asks_vm.then(|| read_key(matches.opt_str("key-file"))).transpose()?;
         Ok(Some(Self {
             address: matches.opt_str("address").unwrap_or_else(|| DEFAULT_ADDRESS.to_owned()),
-            key: read_key(matches.opt_str("key-file"))?,
+            key,
             json: matches.opt_present("json"),
             base: base.transpose()?,
             words: matches.free,
