Gateway: a silent feed is noticed within 2.5 s; items that had not begun can still yield; lost relays

Cause: a feed was given up after 9.5 s, and "nothing is listed yet" was said whenever any feed had been heard within 10 s. Change: feeds of configuration, targets and jobs wait 1.5 s and are given up after 2.5 s; an empty page needs the feed of jobs to be at most 0.9 s old, or a read. Tests: `a_vm_whose_feed_of_jobs_is_silent_*`, `items_of_a_job_that_is_ended_stop_*`; both failed before.

Cause: an item that was to yield before its target had answered was taken from the list of those that can, and kept its slot for its whole run while online requests waited. Test: `items_that_had_not_begun_*`.

Cause: relays after many losses. Change: one more candidate is tried for each silent one; a VM that nobody reports to asks the relays of its group for all reports.

Tried and taken back: no batch for 0.5 s after a start, and requests beyond the slots counted against batch.

--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -12,8 +12,11 @@
 use crate::ids::DataCentreId;
 use crate::platform::rows::{RowError, RowResult, StoredRow, read_all};
 
-/// A feed answers after this time also without a change; long waits keep idle VMs cheap.
-const FEED_WAIT: Duration = Duration::from_secs(8);
+/// A feed answers after this time also without a change. Connections may fall silent without a word, and
+/// what operators and callers change is to be known within two to three seconds all the same.
+const FEED_WAIT: Duration = Duration::from_millis(1500);
+/// The same for members, whose connections tell sooner than the store that one is gone.
+const MEMBER_FEED_WAIT: Duration = Duration::from_secs(8);
 /// Pauses after failed calls: the first one, doubled up to the longest one.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 /// Targets whose entries lapsed while the store was away register again within two seconds. A target
@@ -31,20 +34,29 @@
 /// How long news of a table may wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NewsUrgency {
-    /// Configuration, targets, members.
+    /// Configuration and targets.
     Prompt,
     /// Jobs.
     Relaxed,
+    /// Members.
+    Rare,
 }
 
 impl NewsUrgency {
     fn pause(self, members: usize) -> Duration {
         let each = match self {
-            Self::Prompt => FEED_PAUSE_PER_MEMBER,
+            Self::Prompt | Self::Rare => FEED_PAUSE_PER_MEMBER,
             Self::Relaxed => JOB_PAUSE_PER_MEMBER,
         };
         (each * members as u32).min(LONGEST_FEED_PAUSE)
     }
+
+    fn wait(self) -> Duration {
+        match self {
+            Self::Prompt | Self::Relaxed => FEED_WAIT,
+            Self::Rare => MEMBER_FEED_WAIT,
+        }
+    }
 }
 
 /// What a row of the operators' table says.
@@ -96,7 +108,7 @@
     pause: Duration,
     lost_since: Option<Duration>,
     seen: u64,
-    /// When a follower heard from the store last.
+    /// When this follower heard from the store last.
     heard_at: Rc<Cell<Option<Duration>>>,
 }
 
@@ -107,7 +119,6 @@
         table: &'static str,
         parts: Vec<String>,
         urgency: NewsUrgency,
-        heard_at: Rc<Cell<Option<Duration>>>,
     ) -> Self {
         Self {
             core: Rc::clone(core),
@@ -117,10 +128,15 @@
             pause: RETRY_PAUSES.0,
             lost_since: None,
             seen: 0,
-            heard_at,
+            heard_at: Rc::default(),
         }
     }
 
+    /// The time at which this follower heard from the store last.
+    pub(crate) fn heard_at(&self) -> Rc<Cell<Option<Duration>>> {
+        Rc::clone(&self.heard_at)
+    }
+
     /// Tells `on_news` of all rows and of each change.
     pub(crate) async fn run(
         mut self,
@@ -132,7 +148,7 @@
             let back_at = self.note_heard();
             on_news(&self.core, TableNews::Snapshot(rows), back_at);
             loop {
-                let page = self.core.rows.feed(self.table, version, FEED_WAIT).await;
+                let page = self.core.rows.feed(self.table, version, self.urgency.wait()).await;
                 if page == Err(RowError::HistoryLost) {
                     log::info!(table = self.table, version = version; "store history lost");
                     // An outage may hide in the gap, with lapsed entries.
--- a/crates/ebonydock/src/gateway/job_calls.rs
+++ b/crates/ebonydock/src/gateway/job_calls.rs
@@ -23,9 +23,9 @@
 /// A call of a job tries the store for this long.
 const STORE_PATIENCE: Duration = Duration::from_millis(900);
 const STORE_PAUSE: Duration = Duration::from_millis(80);
-/// What a job knows of the store is current if a follower heard from it within this time; feeds answer
-/// within eight seconds also without a change.
-const FRESH_FOR: Duration = Duration::from_secs(10);
+/// What a VM knows of jobs may be this old when it says that a result is not there: readers see what
+/// another VM has shown to one of them within a second.
+const FRESH_FOR: Duration = Duration::from_millis(900);
 /// Rows of one transaction.
 const TRANSACTION_BYTES: usize = 700_000;
 
@@ -265,10 +265,10 @@
         }
     }
 
-    /// Nothing is at a position only if the store says so or was heard lately.
+    /// Nothing is at a position only if the store says so, or its jobs were heard of just now.
     async fn empty_page(&self, job: &JobName, after: u32, total: u32) -> JobAnswer<JobResultPage> {
         let empty = JobResultPage { total, next: after, results: Vec::new() };
-        if self.heard_store_within(FRESH_FOR) {
+        if self.jobs.is_current(monotonic(), FRESH_FOR) {
             return Ok(empty);
         }
         match self.read_job_patiently(job).await? {
--- a/crates/ebonydock/src/gateway/job_desk.rs
+++ b/crates/ebonydock/src/gateway/job_desk.rs
@@ -44,6 +44,8 @@
     pub(crate) silent_since: RefCell<HashMap<JobName, Duration>>,
     pub(crate) cache: RefCell<ResultCache>,
     pub(crate) inputs: RefCell<HashMap<JobName, Rc<Vec<JobItem>>>>,
+    /// When the follower of jobs heard from the store last.
+    pub(crate) heard_at: RefCell<Rc<Cell<Option<Duration>>>>,
     pace: Cell<ItemPace>,
     pub(crate) changed: Notify,
 }
@@ -75,6 +77,11 @@
         Duration::try_from_secs_f64(left * pace.event_s).unwrap_or_default()
     }
 
+    /// Whether what is known of jobs was the store's state within some time.
+    pub(crate) fn is_current(&self, now: Duration, age: Duration) -> bool {
+        self.heard_at.borrow().get().is_some_and(|at| now.saturating_sub(at) <= age)
+    }
+
     /// Learns from a run of an item that made `made` of its `events` events.
     pub(crate) fn learn_run(&self, events: u64, made: u64, took: Duration, complete: bool) {
         let mut pace = self.pace.get();
--- a/crates/ebonydock/src/gateway/leases.rs
+++ b/crates/ebonydock/src/gateway/leases.rs
@@ -171,7 +171,10 @@
         let excesses = self.board.borrow_mut().balance_batch(now);
         for excess in excesses {
             let mut slots = self.leases.yieldable.borrow_mut();
-            let own = slots.iter().filter(|(_, slot)| slot.service == excess.service);
+            // An item whose answer has not begun yields at a later look.
+            let own = slots
+                .iter()
+                .filter(|(_, slot)| slot.service == excess.service && slot.yields.is_some());
             let mut own: Vec<(bool, Reverse<Duration>, u64)> = own
                 .map(|(number, slot)| {
                     let urgent = slot.urgent_at.is_some_and(|at| now >= at);
@@ -186,7 +189,6 @@
                 }
                 urgent_left -= u32::from(urgent);
                 self.metrics.count("item", "yielded");
-                // An item whose answer has not begun, or has just ended, keeps its slot.
                 if let Some(yields) = slots.remove(&number).and_then(|slot| slot.yields) {
                     let _ = yields.send(());
                 }
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -224,7 +224,7 @@
         let events = Rc::new(GatewayPeerEvents(Rc::clone(self)));
         tokio::task::spawn_local(self.peering.endpoint.clone().serve(events));
         tokio::task::spawn_local(publish(Rc::clone(self)));
-        let follower = self.follow(MEMBER_TABLE, vec![String::new()], NewsUrgency::Prompt);
+        let follower = self.follow(MEMBER_TABLE, vec![String::new()], NewsUrgency::Rare);
         tokio::task::spawn_local(follower.run(|core, news, _| core.peering.take_news(news)));
         tokio::task::spawn_local(report_load(Rc::clone(self)));
         tokio::task::spawn_local(forward_reports(Rc::clone(self)));
--- a/crates/ebonydock/src/gateway/report_routes.rs
+++ b/crates/ebonydock/src/gateway/report_routes.rs
@@ -161,13 +161,17 @@
             return others.map(|vm| (vm.clone(), ReportInterest::Nothing)).collect();
         }
         self.find_silent(now);
-        let own_relays = self.relays(0);
+        let own_relays = self.relays(now, 0);
         let mut receivers = Vec::new();
-        if self.is_relay(now, &own_relays) {
+        let is_followed =
+            self.subscribers(now).any(|(_, interest)| interest == ReportInterest::All);
+        if is_followed || own_relays.contains(&self.own) {
+            // A VM that only takes itself for a relay is not told reports by the others of its group.
+            let interest = if is_followed { ReportInterest::Nothing } else { ReportInterest::All };
             let others = own_relays.into_iter().filter(|vm| *vm != self.own);
-            receivers.extend(others.map(|vm| (vm, ReportInterest::Nothing)));
+            receivers.extend(others.map(|vm| (vm, interest)));
             for group in 1..self.groups.len() {
-                let relays = self.relays(group).into_iter();
+                let relays = self.relays(now, group).into_iter();
                 receivers.extend(relays.map(|vm| (vm, ReportInterest::Group)));
             }
         } else {
@@ -187,14 +191,25 @@
         if self.is_direct { 1 } else { 3 }
     }
 
-    fn is_relay(&self, now: Duration, own_relays: &[VmId]) -> bool {
-        own_relays.contains(&self.own)
-            || self.subscribers(now).any(|(_, interest)| interest == ReportInterest::All)
-    }
-
-    fn relays(&self, group: usize) -> Vec<VmId> {
-        let relays = self.groups[group].iter().filter(|vm| !self.silent.contains_key(*vm));
-        relays.take(RELAYS_PER_GROUP).cloned().collect()
+    /// The first VMs of a group, up to two that are heard. For each silent one another one is tried
+    /// meanwhile, so that a group of which many were lost is found again in a few rounds.
+    fn relays(&self, now: Duration, group: usize) -> Vec<VmId> {
+        let group = &self.groups[group];
+        let is_heard = |vm: &VmId| {
+            let heard_at = self.heard_at.get(vm);
+            heard_at.is_some_and(|at| now.saturating_sub(*at) <= RELAY_SILENCE) || *vm == self.own
+        };
+        let silent = group.iter().filter(|vm| self.silent.contains_key(*vm)).count();
+        let mut relays = Vec::new();
+        let mut heard = 0;
+        for vm in group.iter().filter(|vm| !self.silent.contains_key(*vm)) {
+            if heard == RELAYS_PER_GROUP || relays.len() == RELAYS_PER_GROUP + silent {
+                break;
+            }
+            heard += usize::from(is_heard(vm));
+            relays.push(vm.clone());
+        }
+        relays
     }
 
     fn find_silent(&mut self, now: Duration) {
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -51,7 +51,6 @@
     quotas: RefCell<QuotaLedger>,
     listing: RefCell<TargetListing>,
     closed: RefCell<ClosedListing>,
-    heard_store: Rc<Cell<Option<Duration>>>,
     store_clock: Cell<Option<(Duration, Duration)>>,
     running: Cell<usize>,
     /// When a planned stop began.
@@ -95,7 +94,6 @@
             listing: RefCell::default(),
             closed: RefCell::default(),
             leases: LeaseBook::default(),
-            heard_store: Rc::default(),
             store_clock: Cell::default(),
             running: Cell::new(0),
             stopping_since: Cell::new(None),
@@ -168,11 +166,7 @@
         parts: Vec<String>,
         urgency: NewsUrgency,
     ) -> TableFollower {
-        TableFollower::open(self, table, parts, urgency, Rc::clone(&self.heard_store))
-    }
-
-    pub(crate) fn heard_store_within(&self, age: Duration) -> bool {
-        self.heard_store.get().is_some_and(|at| monotonic().saturating_sub(at) <= age)
+        TableFollower::open(self, table, parts, urgency)
     }
 
     /// Takes the store's clock from one of its answers.
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -33,6 +33,8 @@
     changed: Notify,
     /// Transactions that take effect and are not answered.
     pub(super) lost_answers: Cell<u32>,
+    /// The table whose feeds stay silent, as on a connection that is cut without a word.
+    pub(super) silent_table: Cell<&'static str>,
     /// Whether every call is refused.
     pub(super) refuses: Cell<bool>,
 }
@@ -162,6 +164,10 @@
                 if self.refuses.get() {
                     return Err(RowError::Refused("busy".to_owned()));
                 }
+                if self.silent_table.get() == table {
+                    tokio::time::sleep_until(until + Duration::from_secs(1)).await;
+                    return Err(RowError::Unknown("no answer".to_owned()));
+                }
                 let rows: Vec<StoredRow> = self
                     .changes
                     .borrow()
@@ -223,6 +229,8 @@
 pub(super) enum TargetAct {
     /// Events from one on, up to another one, which is the last of the answer if the flag is set.
     Events(u64, bool),
+    /// So many events, of which the first comes after some time.
+    Late(Duration, u64),
     /// A whole answer.
     Whole(u16, &'static str),
     /// The target says that it did not run the request.
@@ -300,6 +308,13 @@
         let open = OpenAnswer(Rc::clone(&self.open));
         Box::pin(async move {
             tokio::time::sleep(Duration::from_millis(5)).await;
+            let act = match act {
+                TargetAct::Late(wait, events) => {
+                    tokio::time::sleep(wait).await;
+                    TargetAct::Events(events, true)
+                }
+                act => act,
+            };
             match act {
                 TargetAct::Events(to, complete) => {
                     let mut parts: Vec<Result<Bytes, SendError>> =
@@ -327,6 +342,7 @@
                     ReplyMeaning::Ran,
                     vec![Ok(Bytes::from_static(body.as_bytes()))],
                 )),
+                TargetAct::Late(..) => unreachable!("translated above"),
                 TargetAct::NotRun => Ok(reply(503, ReplyMeaning::NotRun, Vec::new())),
                 TargetAct::Fails(error) => Err(error),
                 TargetAct::Hangs => {
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -10,7 +10,7 @@
 use crate::gateway::job_book::{JobItem, JobSubmission, ListedResult};
 use crate::gateway::job_calls::{JobRefusal, JobResultPage};
 use crate::gateway::request::TokenDemand;
-use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetAct, run};
+use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetAct, request, run};
 
 const ITEMS: u32 = 5;
 
@@ -85,6 +85,68 @@
     });
 }
 
+#[test]
+fn a_vm_whose_feed_of_jobs_is_silent_reads_results_and_ends_from_the_store() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetAct::Events(40, true)));
+        let lead = site.gateway("vm1").await;
+        let reader = site.gateway("vm2").await;
+        lead.submit_job(submission("j1")).await.unwrap();
+        let page = reader.job_results(Some(&key()), "j1", 0, Duration::ZERO).await.unwrap();
+        assert_eq!((page.total, page.next), (ITEMS, 0));
+        site.store.silent_table.set("jobs");
+        assert_eq!(all_results(&lead, "j1").await.len(), 5);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let page = reader.job_results(Some(&key()), "j1", 0, Duration::ZERO).await.unwrap();
+        assert_eq!(page.next, ITEMS, "results that another VM had listed are not seen");
+    });
+}
+
+/// The lead hears of the end by the feed only; it is lost without a word, and found again in time.
+#[test]
+fn items_of_a_job_that_is_ended_stop_although_a_feed_was_silent() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetAct::Events(2000, true)));
+        let lead = site.gateway("vm1").await;
+        let other = site.gateway("vm2").await;
+        lead.submit_job(submission("j1")).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        site.store.silent_table.set("jobs");
+        // A feed that was asked before is silent as well.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        other.end_job(Some(&key()), "j1").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        site.store.silent_table.set("");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        assert_eq!(site.targets.open.get(), 0, "an item still runs");
+    });
+}
+
+/// Six slots, five of them with items whose targets have not answered yet when online requests wait.
+#[test]
+fn items_that_had_not_begun_when_online_needed_their_slots_yield_once_they_have() {
+    run(async {
+        let targets = FakeTargets::open(|attempt, _| match attempt.path.as_str() {
+            "/chat/1" => TargetAct::Events(300, true),
+            "/safe/1" => TargetAct::Whole(200, "whole"),
+            _ => TargetAct::Late(Duration::from_millis(200), 400),
+        });
+        let site = FakeSite::open(targets);
+        let gateway = site.gateway("vm1").await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        gateway.submit_job(submission("j1")).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(site.targets.seen.borrow().len(), 5);
+        let chat = gateway.forward(request("r0", "/chat/1"));
+        let questions =
+            (1..=4).map(|number| gateway.forward(request(&format!("r{number}"), "/safe/1")));
+        let questions = futures_util::future::join_all(questions);
+        let (chat, answers) = futures_util::future::join(chat, questions).await;
+        assert!(chat.is_ok());
+        assert!(answers.iter().all(Result::is_ok), "an item kept its slot");
+    });
+}
+
 #[parameterized(
     failing = { 500, 2 },
     not_doable = { 422, 1 },
