Load reports: a VM no longer counts its own report

Callers of fleets above 24 VMs were refused within their quota, and targets looked fuller than they were: a relay sends all reports to its members, their own included, and the receiver counted its own report as another VM's. Its requests used two slots each in its own view, and each request that it admitted was subtracted a second time from its quota, so a workspace whose callers reach one VM had half of its quota.

Evidence: dispatcher::own_report_returned_by_relay_is_not_counted fails without the check ("its quota use would be subtracted twice"). Found by reading; the property test of relays filtered own reports in its own code.

Change: the view of the fleet knows its VM and drops reports about it.

--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/dispatcher.rs
@@ -71,14 +71,14 @@
 }
 
 impl RequestDispatcher {
-    /// Creates a dispatcher without targets for a VM in `data_centre`.
-    pub fn open(data_centre: &DataCentreId) -> Self {
+    /// Creates a dispatcher without targets for `local_vm` in `data_centre`.
+    pub fn open(local_vm: &VmId, data_centre: &DataCentreId) -> Self {
         Self {
             data_centre: data_centre.clone(),
             targets: BTreeMap::new(),
             out_of_service: HashSet::new(),
             cold_start_rates: HashMap::new(),
-            fleet: FleetLoad::default(),
+            fleet: FleetLoad::open(local_vm),
             queues: HashMap::new(),
             prefixes: HashMap::new(),
             sequence: 0,
--- a/crates/ebonydock/src/gateway/fleet_load.rs
+++ b/crates/ebonydock/src/gateway/fleet_load.rs
@@ -25,15 +25,25 @@
     pub(crate) batch: u32,
 }
 
-/// Last report of every live VM.
-#[derive(Debug, Default)]
+/// Last report of every live VM but the local one.
+#[derive(Debug)]
 pub(crate) struct FleetLoad {
+    local_vm: VmId,
     vms: HashMap<VmId, VmLoad>,
 }
 
 impl FleetLoad {
-    /// Applies a report; returns false if it is no newer than the known one.
+    /// Opens the view of a VM that has no report yet.
+    pub(crate) fn open(local_vm: &VmId) -> Self {
+        Self { local_vm: local_vm.clone(), vms: HashMap::new() }
+    }
+
+    /// Applies a report; returns false if it is no newer than the known one, or the local VM's own, which
+    /// relays send back to it.
     pub(crate) fn observe(&mut self, now: Duration, vm: &VmId, report: &LoadReport) -> bool {
+        if *vm == self.local_vm {
+            return false;
+        }
         let stale = self.vms.get(vm).is_some_and(|load| {
             load.incarnation == report.incarnation && load.sequence >= report.sequence
         });
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -74,7 +74,7 @@
         let incarnation = rand::random();
         let peering = GatewayPeering::bind(&settings, incarnation)?;
         let core = Rc::new(Self {
-            dispatcher: RefCell::new(RequestDispatcher::open(&settings.data_centre)),
+            dispatcher: RefCell::new(RequestDispatcher::open(&settings.vm, &settings.data_centre)),
             settings,
             incarnation,
             started_at: monotonic(),
--- a/crates/ebonydock/src/gateway/tests/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/tests/dispatcher.rs
@@ -33,7 +33,7 @@
 }
 
 fn dispatcher_with(targets: Vec<ServingTarget>) -> RequestDispatcher {
-    let mut dispatcher = RequestDispatcher::open(&DataCentreId::from("a"));
+    let mut dispatcher = RequestDispatcher::open(&VmId::from("local"), &DataCentreId::from("a"));
     dispatcher.set_targets(Duration::ZERO, targets);
     dispatcher
 }
@@ -89,6 +89,21 @@
     assert!(counts[&TargetId::from("far")] >= 3, "{counts:?}");
 }
 
+/// Relays send all reports to a VM, its own included.
+#[test]
+fn own_report_returned_by_relay_is_not_counted() {
+    let mut dispatcher = dispatcher_with(vec![target("t", "a")]);
+    for _ in 0..5 {
+        placed(dispatcher.request(ms(0), online(0)));
+    }
+    let own = [(VmId::from("local"), report(1, 1, &[("t", 5, 0)]))];
+    assert!(dispatcher.observe(ms(1), &own).is_empty(), "its quota use would be subtracted twice");
+    assert_eq!(dispatcher.live_vm_count(), 0);
+    for _ in 5..SLOTS {
+        placed(dispatcher.request(ms(1), online(1)));
+    }
+}
+
 #[test]
 fn reported_load_uses_slots() {
     let mut dispatcher = dispatcher_with(vec![target("t", "a")]);
--- a/crates/ebonydock/src/gateway/tests/emulator.rs
+++ b/crates/ebonydock/src/gateway/tests/emulator.rs
@@ -116,12 +116,12 @@
             })
             .collect();
         let vms = (0..site.vms).map(|number| {
-            let mut dispatcher = RequestDispatcher::open(&data_centre(number));
+            let name = VmId::from(format!("vm{number}"));
+            let mut dispatcher = RequestDispatcher::open(&name, &data_centre(number));
             dispatcher.set_targets(Duration::ZERO, listed.clone());
             dispatcher.set_report_age(Duration::from_millis(
                 site.report_every_ms / 2 + site.report_delay_ms,
             ));
-            let name = VmId::from(format!("vm{number}"));
             EmulatedVm { name, dispatcher, waiting: HashMap::new(), sequence: 0 }
         });
         let targets = listed.iter().map(|target| {
--- a/crates/ebonydock/src/gateway/tests/quota.rs
+++ b/crates/ebonydock/src/gateway/tests/quota.rs
@@ -173,11 +173,12 @@
         let mut ledger = QuotaLedger::open(now);
         ledger.set_members(now, scenario.vms);
         ledger.set_quota(now, workspace, scenario.rate, scenario.burst);
+        let name = VmId::from(format!("vm{vm}"));
         Self {
-            name: VmId::from(format!("vm{vm}")),
             incarnation,
             ledger,
-            fleet: FleetLoad::default(),
+            fleet: FleetLoad::open(&name),
+            name,
             last: LoadReport::default(),
             last_ms: now_ms,
             offset_ms: vm as u64 * TICK_MS,
