Load reports: a received report costs the same in a fleet of any size

At 195 VMs, 46 % of all processor time went to reports, their hash maps and the allocator: each datagram with anything new recomputed the use of every target from every VM's report, and every report was decoded twice, because each VM hears it from two relays.

Change: sums of load are updated by the difference to a VM's previous report. Reports travel in frames whose header (VM, incarnation, sequence) shows whether they are new; only new content is decoded, and relays forward it unchanged. Keys of these maps are hashed with rustc-hash. The member list is compared through a set.

The wire format changes: VMs of the version before drop such reports, and theirs are recognised and dropped. Messages that can't be decoded are counted (ebonydock_gateway_peer_messages_dropped) and logged every 10 s at most, not one line each.

Tests: reports::sums_of_load_equal_last_reports (late, repeated, expired, own reports, restarts), peers::tests::* (truncated and earlier formats).

--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/dispatcher.rs
@@ -11,7 +11,7 @@
 use rand::seq::SliceRandom;
 
 use crate::gateway::fleet_load::FleetLoad;
-use crate::gateway::load::{LoadReport, ReportedLoad, ReportedWait, service_hash};
+use crate::gateway::load::{LoadReport, ReportFrame, ReportedLoad, ReportedWait, service_hash};
 use crate::gateway::slots::{ServingTarget, SlotOutcome, TargetSlots};
 use crate::gateway::wait_queue::{DecidedWaiter, ServiceQueue, SlotNeed, SlotRefusal, SlotWaiter};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
@@ -130,6 +130,11 @@
         self.targets.len()
     }
 
+    /// Returns the VM of a received report if [`Self::observe`] would apply the report.
+    pub(crate) fn new_report_vm(&self, frame: &ReportFrame<'_>) -> Option<VmId> {
+        self.fleet.new_report_vm(frame)
+    }
+
     /// Applies load reports of other VMs and returns those that are newer than the known ones.
     pub fn observe<'a>(
         &mut self,
@@ -169,9 +174,8 @@
     }
 
     fn update_reported_use(&mut self) {
-        let uses = self.fleet.use_by_target();
         for slots in self.targets.values_mut() {
-            let target_use = uses.get(&slots.hash).copied().unwrap_or_default();
+            let target_use = self.fleet.use_of(slots.hash);
             (slots.reported, slots.reported_batch) = (target_use.all, target_use.batch);
         }
     }
--- a/crates/ebonydock/src/gateway/fleet_load.rs
+++ b/crates/ebonydock/src/gateway/fleet_load.rs
@@ -1,9 +1,10 @@
-//! Last load report of each other VM.
+//! Last load report of each other VM, and the sums over all of them.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::gateway::load::{LoadReport, ReportedLoad, ReportedWait, service_hash};
+use rustc_hash::FxHashMap;
+
+use crate::gateway::load::{LoadReport, ReportFrame, ReportedLoad, ReportedWait, service_hash};
 use crate::ids::{ServiceName, VmId};
 
 /// Time after which a VM's last report expires; several times the report interval.
@@ -19,7 +20,7 @@
 }
 
 /// Requests of all other VMs at one target.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct ReportedUse {
     pub(crate) all: u32,
     pub(crate) batch: u32,
@@ -29,25 +30,44 @@
 #[derive(Debug)]
 pub(crate) struct FleetLoad {
     local_vm: VmId,
-    vms: HashMap<VmId, VmLoad>,
+    vms: FxHashMap<VmId, VmLoad>,
+    /// Sums over the reports in `vms`, by the target's and the service's hash. A report changes them by its
+    /// difference to the VM's previous one, at a cost that doesn't depend on the size of the fleet.
+    uses: FxHashMap<u32, ReportedUse>,
+    waiting: FxHashMap<u32, u32>,
 }
 
 impl FleetLoad {
     /// Opens the view of a VM that has no report yet.
     pub(crate) fn open(local_vm: &VmId) -> Self {
-        Self { local_vm: local_vm.clone(), vms: HashMap::new() }
+        Self {
+            local_vm: local_vm.clone(),
+            vms: FxHashMap::default(),
+            uses: FxHashMap::default(),
+            waiting: FxHashMap::default(),
+        }
     }
 
-    /// Applies a report; returns false if it is no newer than the known one, or the local VM's own, which
-    /// relays send back to it.
+    /// Returns whether a report would be applied: it is newer than the VM's last one, and not the local VM's
+    /// own, which relays send back to it.
+    fn is_new(&self, vm: &str, incarnation: u64, sequence: u64) -> bool {
+        let is_stale = self
+            .vms
+            .get(vm)
+            .is_some_and(|load| load.incarnation == incarnation && load.sequence >= sequence);
+        !is_stale && vm != self.local_vm.as_str()
+    }
+
+    /// Returns the VM of a frame whose report would be applied.
+    pub(crate) fn new_report_vm(&self, frame: &ReportFrame<'_>) -> Option<VmId> {
+        let is_new = self.is_new(frame.vm, frame.incarnation, frame.sequence);
+        let known = || self.vms.get_key_value(frame.vm).map(|(vm, _)| vm.clone());
+        is_new.then(|| known().unwrap_or_else(|| VmId::from(frame.vm)))
+    }
+
+    /// Applies a report; returns false if it is not new.
     pub(crate) fn observe(&mut self, now: Duration, vm: &VmId, report: &LoadReport) -> bool {
-        if *vm == self.local_vm {
-            return false;
-        }
-        let stale = self.vms.get(vm).is_some_and(|load| {
-            load.incarnation == report.incarnation && load.sequence >= report.sequence
-        });
-        if stale {
+        if !self.is_new(vm.as_str(), report.incarnation, report.sequence) {
             return false;
         }
         let load = VmLoad {
@@ -57,6 +77,10 @@
             targets: report.targets.clone(),
             waiting: report.waiting.clone(),
         };
+        if let Some(previous) = self.vms.remove(vm) {
+            self.subtract(&previous);
+        }
+        self.add(&load);
         self.vms.insert(vm.clone(), load);
         true
     }
@@ -64,7 +88,11 @@
     /// Removes the VMs whose last report has expired, and returns them.
     pub(crate) fn expire(&mut self, now: Duration) -> Vec<VmId> {
         let is_expired = |load: &VmLoad| now.saturating_sub(load.received_at) > REPORT_LIFETIME;
-        self.vms.extract_if(|_, load| is_expired(load)).map(|(vm, _)| vm).collect()
+        let expired: Vec<_> = self.vms.extract_if(|_, load| is_expired(load)).collect();
+        for (_, load) in &expired {
+            self.subtract(load);
+        }
+        expired.into_iter().map(|(vm, _)| vm).collect()
     }
 
     /// Returns the VMs with a current report.
@@ -79,19 +107,41 @@
 
     /// Returns the number of online requests for a service that wait at other VMs.
     pub(crate) fn waiting(&self, service: &ServiceName) -> u32 {
-        let service = service_hash(service);
-        let waits = self.vms.values().flat_map(|load| &load.waiting);
-        waits.filter(|wait| wait.service == service).map(|wait| u32::from(wait.requests)).sum()
+        self.waiting.get(&service_hash(service)).copied().unwrap_or_default()
+    }
+
+    /// Returns the requests of all other VMs at the target with this hash.
+    pub(crate) fn use_of(&self, target: u32) -> ReportedUse {
+        self.uses.get(&target).copied().unwrap_or_default()
+    }
+
+    fn add(&mut self, load: &VmLoad) {
+        for target in &load.targets {
+            let sum = self.uses.entry(target.target).or_default();
+            sum.all += u32::from(target.online) + u32::from(target.batch);
+            sum.batch += u32::from(target.batch);
+        }
+        for wait in &load.waiting {
+            *self.waiting.entry(wait.service).or_default() += u32::from(wait.requests);
+        }
     }
 
-    /// Returns the requests of all other VMs by the target's hash.
-    pub(crate) fn use_by_target(&self) -> HashMap<u32, ReportedUse> {
-        let mut uses: HashMap<u32, ReportedUse> = HashMap::new();
-        for load in self.vms.values().flat_map(|load| &load.targets) {
-            let target_use = uses.entry(load.target).or_default();
-            target_use.all += u32::from(load.online) + u32::from(load.batch);
-            target_use.batch += u32::from(load.batch);
+    /// Subtracts a load added before. Sums of zero are removed, because targets come and go.
+    fn subtract(&mut self, load: &VmLoad) {
+        for target in &load.targets {
+            let Some(sum) = self.uses.get_mut(&target.target) else { continue };
+            sum.all -= u32::from(target.online) + u32::from(target.batch);
+            sum.batch -= u32::from(target.batch);
+            if sum.all == 0 {
+                self.uses.remove(&target.target);
+            }
+        }
+        for wait in &load.waiting {
+            let Some(sum) = self.waiting.get_mut(&wait.service) else { continue };
+            *sum -= u32::from(wait.requests);
+            if *sum == 0 {
+                self.waiting.remove(&wait.service);
+            }
         }
-        uses
     }
 }
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -1,5 +1,7 @@
 //! Reports in which VMs tell each other their load on targets and their use of quotas.
 
+use std::rc::Rc;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -41,9 +43,12 @@
 /// Load of one VM.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
-    /// Identifies the process lifetime of the VM; new after each restart.
+    /// Identifies the process lifetime of the VM; new after each restart. Sent in the frame of the report.
+    #[serde(skip)]
     pub incarnation: u64,
-    /// Increases with each report of an incarnation, because datagrams may arrive out of order.
+    /// Increases with each report of an incarnation, because datagrams may arrive out of order. Sent in the
+    /// frame of the report.
+    #[serde(skip)]
     pub sequence: u64,
     /// Load by target; targets without requests of the VM are absent.
     pub targets: Vec<ReportedLoad>,
@@ -53,13 +58,80 @@
     pub waiting: Vec<ReportedWait>,
 }
 
+/// Load report of one VM as sent. Every VM receives each report from two relays, so the content is decoded
+/// only if the header shows that the report is new. Relays forward the content unchanged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportFrame<'a> {
+    /// VM that the report describes.
+    pub vm: &'a str,
+    /// [`LoadReport::incarnation`].
+    pub incarnation: u64,
+    /// [`LoadReport::sequence`].
+    pub sequence: u64,
+    /// The rest of the [`LoadReport`], encoded with `postcard`.
+    pub content: &'a [u8],
+}
+
+impl ReportFrame<'_> {
+    /// Decodes the report.
+    pub(crate) fn decode(&self) -> Result<LoadReport, postcard::Error> {
+        let mut report: LoadReport = postcard::from_bytes(self.content)?;
+        (report.incarnation, report.sequence) = (self.incarnation, self.sequence);
+        Ok(report)
+    }
+}
+
 /// Reports sent in one datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadUpdate {
+pub struct LoadUpdate<'a> {
     /// Reports that the sender subscribes to at the receiver.
     pub interest: ReportInterest,
-    /// Reports with the VMs that they describe.
-    pub reports: Vec<(VmId, LoadReport)>,
+    /// Reports of the sender or of the VMs that it relays for.
+    #[serde(borrow)]
+    pub reports: Vec<ReportFrame<'a>>,
+}
+
+/// Encoded load report that is kept to be forwarded.
+#[derive(Clone, Debug)]
+pub(crate) struct EncodedReport {
+    pub(crate) vm: VmId,
+    incarnation: u64,
+    sequence: u64,
+    content: Rc<[u8]>,
+}
+
+impl EncodedReport {
+    /// Encodes the report of `vm`.
+    pub(crate) fn encode(vm: &VmId, report: &LoadReport) -> Self {
+        let content = postcard::to_stdvec(report)
+            .unwrap_or_else(|error| unreachable!("reports always encode: {error}"));
+        Self {
+            vm: vm.clone(),
+            incarnation: report.incarnation,
+            sequence: report.sequence,
+            content: content.into(),
+        }
+    }
+
+    /// Copies a received report of `vm`.
+    pub(crate) fn copy(vm: &VmId, frame: &ReportFrame<'_>) -> Self {
+        Self {
+            vm: vm.clone(),
+            incarnation: frame.incarnation,
+            sequence: frame.sequence,
+            content: frame.content.into(),
+        }
+    }
+
+    /// Returns the report as sent.
+    pub(crate) fn frame(&self) -> ReportFrame<'_> {
+        ReportFrame {
+            vm: self.vm.as_str(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            content: &self.content,
+        }
+    }
 }
 
 /// Returns the hash that identifies a target in reports.
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 pub use handle::{Gateway, GatewaySettings};
 pub use job_api::{JobApiResult, JobRefusal, JobResultPage};
 pub use job_records::{JobItem, JobItemResult, JobSubmission};
-pub use load::{LoadReport, LoadUpdate, ReportedLoad, SpentQuota};
+pub use load::{LoadReport, LoadUpdate, ReportFrame, ReportedLoad, SpentQuota};
 pub use logs::open_decision_log;
 pub use metrics::GatewayMetrics;
 pub use quota::{QuotaLedger, QuotaState};
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -174,7 +174,7 @@
     }
 
     /// Encodes load reports once, so that they can be sent to several VMs.
-    pub(crate) fn encode(&self, update: LoadUpdate) -> bytes::Bytes {
+    pub(crate) fn encode(&self, update: LoadUpdate<'_>) -> bytes::Bytes {
         self.endpoint.encode_datagram(&PeerDatagram::Load(update))
     }
 
@@ -195,6 +195,16 @@
         }
     }
 
+    /// Counts a report from another VM that could not be decoded, and logs it once in a while.
+    pub(crate) fn record_dropped(&self, now: Duration, from: &VmId, reason: &str) {
+        self.endpoint.record_dropped(now, from.as_str(), reason);
+    }
+
+    /// Returns the number of messages of other VMs that could not be decoded.
+    pub(crate) fn dropped_messages(&self) -> u64 {
+        self.endpoint.dropped_messages()
+    }
+
     /// Closes all connections.
     pub(crate) fn close(&self) {
         self.endpoint.close();
@@ -213,7 +223,7 @@
         Box::pin(std::future::ready(reply))
     }
 
-    fn handle_datagram(&self, from: VmId, datagram: PeerDatagram) {
+    fn handle_datagram(&self, from: VmId, datagram: PeerDatagram<'_>) {
         if let PeerDatagram::Load(update) = datagram {
             self.0.apply_load_update(&from, &update);
         }
--- a/crates/ebonydock/src/gateway/quota.rs
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -5,9 +5,10 @@
 //! up to its last report, which also says what it has spent, so the sides of a network partition together
 //! admit no more than the rate.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use crate::gateway::load::{LoadReport, SpentQuota};
 use crate::ids::{VmId, WorkspaceId};
 
@@ -59,7 +60,7 @@
     local_spent: u64,
     first_spent_at: Duration,
     last_changed_at: Duration,
-    reported: HashMap<VmId, ReportedSpending>,
+    reported: FxHashMap<VmId, ReportedSpending>,
     /// Requests of other VMs, for logs.
     subtracted: f64,
     dropped: f64,
@@ -120,10 +121,10 @@
 /// Local token buckets of all workspaces.
 #[derive(Debug)]
 pub struct QuotaLedger {
-    buckets: HashMap<WorkspaceId, WorkspaceBucket>,
+    buckets: FxHashMap<WorkspaceId, WorkspaceBucket>,
     /// Number of VMs, this one included; `None` until it is known.
     members: Option<usize>,
-    peers: HashMap<VmId, PeerContact>,
+    peers: FxHashMap<VmId, PeerContact>,
     /// Number of other VMs that are not silent.
     live_peers: usize,
     opened_at: Duration,
@@ -137,9 +138,9 @@
     /// Opens a ledger that knows neither quotas nor other VMs.
     pub fn open(now: Duration) -> Self {
         Self {
-            buckets: HashMap::new(),
+            buckets: FxHashMap::default(),
             members: None,
-            peers: HashMap::new(),
+            peers: FxHashMap::default(),
             live_peers: 0,
             opened_at: now,
             updated_at: now,
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::monotonic;
-use crate::gateway::load::{LoadReport, LoadUpdate, SpentQuota};
+use crate::gateway::load::{EncodedReport, LoadReport, LoadUpdate, ReportFrame, SpentQuota};
 use crate::gateway::report_routes::ReportInterest;
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::VmId;
@@ -20,9 +20,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum payload of a datagram; with headers it fits into a packet of the usual size.
 const MAX_DATAGRAM_BYTES: usize = 1000;
-/// Estimated encoded size of a report without its lists, of one target or service entry, and of one quota
-/// entry.
-const REPORT_BYTES: (usize, usize, usize) = (40, 8, 16);
+/// Maximum encoded size of a report's frame without its VM and content.
+const FRAME_BYTES: usize = 26;
 
 /// Returns whether a report differs from the previous one of the same VM. A quota entry that is no longer
 /// listed or has only become older doesn't count.
@@ -36,39 +35,46 @@
         || report.quotas.iter().any(|spent| !is_known(spent))
 }
 
-fn report_bytes(report: &LoadReport) -> usize {
-    let (base, target, quota) = REPORT_BYTES;
-    base + (report.targets.len() + report.waiting.len()) * target + report.quotas.len() * quota
-}
-
 /// Splits reports into lists that each fit into a datagram.
-fn pack_datagrams(reports: Vec<(VmId, LoadReport)>) -> Vec<Vec<(VmId, LoadReport)>> {
-    let mut datagrams: Vec<Vec<(VmId, LoadReport)>> = Vec::new();
+fn pack_datagrams(reports: &[EncodedReport]) -> Vec<Vec<ReportFrame<'_>>> {
+    let mut datagrams: Vec<Vec<ReportFrame<'_>>> = Vec::new();
     let mut bytes = MAX_DATAGRAM_BYTES;
-    for (vm, report) in reports {
-        let size = report_bytes(&report);
+    for frame in reports.iter().map(EncodedReport::frame) {
+        let size = FRAME_BYTES + frame.vm.len() + frame.content.len();
         if bytes + size > MAX_DATAGRAM_BYTES {
             datagrams.push(Vec::new());
             bytes = 0;
         }
         bytes += size;
         if let Some(datagram) = datagrams.last_mut() {
-            datagram.push((vm, report));
+            datagram.push(frame);
         }
     }
     datagrams
 }
 
 impl GatewayCore {
-    /// Applies reports that another VM sent or forwarded.
-    pub(crate) fn apply_load_update(self: &Rc<Self>, from: &VmId, update: &LoadUpdate) {
+    /// Applies reports that another VM sent or forwarded. A report that can't be decoded is dropped.
+    pub(crate) fn apply_load_update(self: &Rc<Self>, from: &VmId, update: &LoadUpdate<'_>) {
         let now = monotonic();
-        self.peering.routes.borrow_mut().record_contact(now, from, update.interest);
-        let new_reports = self.apply_reports(&update.reports);
         let mut routes = self.peering.routes.borrow_mut();
-        for (vm, report) in new_reports {
-            routes.add(now, vm, report, vm == from);
+        routes.record_contact(now, from, update.interest);
+        let is_relay = routes.has_subscribers(now);
+        let mut new_reports = Vec::new();
+        for frame in &update.reports {
+            let Some(vm) = self.dispatcher.borrow().new_report_vm(frame) else { continue };
+            match frame.decode() {
+                Ok(report) => {
+                    if is_relay {
+                        routes.add(now, EncodedReport::copy(&vm, frame), vm == *from);
+                    }
+                    new_reports.push((vm, report));
+                }
+                Err(error) => self.peering.record_dropped(now, from, &error.to_string()),
+            }
         }
+        drop(routes);
+        self.apply_reports(&new_reports);
     }
 
     fn report_interval(&self) -> Duration {
@@ -83,14 +89,14 @@
     fn send_report(&self, report: &LoadReport) {
         let now = monotonic();
         let local_vm = &self.settings.vm;
+        let encoded = EncodedReport::encode(local_vm, report);
         let receivers = {
             let mut routes = self.peering.routes.borrow_mut();
-            routes.add(now, local_vm, report, true);
+            routes.add(now, encoded.clone(), true);
             routes.receivers(now)
         };
         let encode = |interest| {
-            let reports = vec![(local_vm.clone(), report.clone())];
-            [self.peering.encode(LoadUpdate { interest, reports })]
+            [self.peering.encode(LoadUpdate { interest, reports: vec![encoded.frame()] })]
         };
         for interest in [ReportInterest::Nothing, ReportInterest::Group, ReportInterest::All] {
             let mut matching =
@@ -112,13 +118,13 @@
         if pending.all.is_empty() {
             return;
         }
-        let encode = |reports| {
+        let encode = |reports: &[EncodedReport]| {
             let frames = pack_datagrams(reports).into_iter().map(|reports| {
                 self.peering.encode(LoadUpdate { interest: ReportInterest::Nothing, reports })
             });
             frames.collect::<Vec<_>>()
         };
-        let (group, all) = (encode(pending.group), encode(pending.all));
+        let (group, all) = (encode(&pending.group), encode(&pending.all));
         for (vm, interest) in routes.subscribers(now) {
             let frames = if interest == ReportInterest::All { &all } else { &group };
             self.peering.send(now, vm, frames);
--- a/crates/ebonydock/src/gateway/report_routes.rs
+++ b/crates/ebonydock/src/gateway/report_routes.rs
@@ -7,13 +7,13 @@
 //! without coordination.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::gateway::load::LoadReport;
+use crate::gateway::load::EncodedReport;
 use crate::ids::{DataCentreId, VmId};
 
 /// Maximum size of a fleet that reports directly; relays would add hops and save little.
@@ -50,17 +50,17 @@
     pub(crate) capacity: u32,
 }
 
-/// Reports to forward, with the VMs that they describe.
+/// Reports to forward.
 #[derive(Debug, Default)]
 pub(crate) struct PendingReports {
     /// Reports for relays of other groups: those received directly from the VMs that they describe.
-    pub(crate) group: Vec<(VmId, LoadReport)>,
+    pub(crate) group: Vec<EncodedReport>,
     /// Reports for the VMs that report to this one.
-    pub(crate) all: Vec<(VmId, LoadReport)>,
+    pub(crate) all: Vec<EncodedReport>,
 }
 
 struct PendingReport {
-    report: LoadReport,
+    report: EncodedReport,
     is_direct: bool,
 }
 
@@ -96,7 +96,8 @@
 
     /// Sets the members of the fleet, including the local VM.
     pub(crate) fn set_members(&mut self, members: &[ReportMember]) {
-        let is_listed = |vm: &VmId| members.iter().any(|member| member.vm == *vm);
+        let listed: HashSet<&VmId> = members.iter().map(|member| &member.vm).collect();
+        let is_listed = |vm: &VmId| listed.contains(vm);
         self.is_direct = members.len() <= MAX_DIRECT_VMS;
         self.groups = group_members(&self.local_vm, members);
         self.last_seen_at.retain(|vm, _| is_listed(vm));
@@ -121,22 +122,25 @@
     }
 
     /// Adds a new report to forward. `is_direct` tells whether it came from the VM that it describes.
-    pub(crate) fn add(&mut self, now: Duration, vm: &VmId, report: &LoadReport, is_direct: bool) {
-        if self.subscribers(now).next().is_none() {
-            return;
+    pub(crate) fn add(&mut self, now: Duration, report: EncodedReport, is_direct: bool) {
+        if self.has_subscribers(now) {
+            self.pending.insert(report.vm.clone(), PendingReport { report, is_direct });
         }
-        let pending = PendingReport { report: report.clone(), is_direct };
-        self.pending.insert(vm.clone(), pending);
+    }
+
+    /// Returns whether any VM has a current subscription.
+    pub(crate) fn has_subscribers(&self, now: Duration) -> bool {
+        self.subscribers(now).next().is_some()
     }
 
     /// Removes and returns the reports to forward.
     pub(crate) fn take_pending(&mut self) -> PendingReports {
         let mut reports = PendingReports::default();
-        for (vm, pending) in self.pending.drain() {
+        for pending in self.pending.drain().map(|(_, pending)| pending) {
             if pending.is_direct {
-                reports.group.push((vm.clone(), pending.report.clone()));
+                reports.group.push(pending.report.clone());
             }
-            reports.all.push((vm, pending.report));
+            reports.all.push(pending.report);
         }
         reports
     }
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -127,6 +127,7 @@
             connections_opened: self.connections.opened(),
             quota_subtracted,
             quota_dropped,
+            dropped_messages: self.peering.dropped_messages(),
         });
         self.metrics.encode()
     }
@@ -261,15 +262,12 @@
         self.quotas.borrow_mut().refund(monotonic(), workspace);
     }
 
-    /// Applies load reports of other VMs and returns those that are new.
-    pub(crate) fn apply_reports<'a>(
-        self: &Rc<Self>,
-        reports: &'a [(VmId, LoadReport)],
-    ) -> Vec<&'a (VmId, LoadReport)> {
+    /// Applies load reports of other VMs.
+    pub(crate) fn apply_reports(self: &Rc<Self>, reports: &[(VmId, LoadReport)]) {
         let now = monotonic();
         let new_reports = self.dispatcher.borrow_mut().observe(now, reports);
         if new_reports.is_empty() {
-            return new_reports;
+            return;
         }
         let mut quotas = self.quotas.borrow_mut();
         for (vm, report) in &new_reports {
@@ -277,7 +275,6 @@
         }
         drop(quotas);
         self.advance();
-        new_reports
     }
 
     /// Returns the load report that this VM sends to others.
--- a/crates/ebonydock/src/gateway/tests/reports.rs
+++ b/crates/ebonydock/src/gateway/tests/reports.rs
@@ -1,13 +1,14 @@
 //! Tests of load reports over relays: the reports of every VM reach every other VM, also after losses.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use proptest::prelude::*;
 
-use crate::gateway::load::LoadReport;
+use crate::gateway::fleet_load::{FleetLoad, ReportedUse};
+use crate::gateway::load::{EncodedReport, LoadReport, ReportedLoad, ReportedWait, service_hash};
 use crate::gateway::report_routes::{ReportInterest, ReportMember, ReportRoutes};
-use crate::ids::{DataCentreId, VmId};
+use crate::ids::{DataCentreId, ServiceName, VmId};
 
 const TICK: Duration = Duration::from_millis(50);
 /// Long enough for relays to time out, reports to expire and an exchange to complete.
@@ -53,7 +54,7 @@
         from: &VmId,
         to: &VmId,
         interest: ReportInterest,
-        reports: &[(VmId, LoadReport)],
+        reports: &[EncodedReport],
     ) {
         self.datagrams += 1;
         if self.lost.contains(to) {
@@ -64,11 +65,13 @@
             return;
         };
         routes.record_contact(self.now, from, interest);
-        for (vm, report) in reports.iter().filter(|(vm, _)| vm != to) {
-            let known = received.entry(vm.clone()).or_default();
-            if report.sequence > *known {
-                *known = report.sequence;
-                routes.add(self.now, vm, report, vm == from);
+        for report in reports.iter().filter(|report| report.vm != *to) {
+            let known = received.entry(report.vm.clone()).or_default();
+            let sequence = report.frame().sequence;
+            if sequence > *known {
+                *known = sequence;
+                let copy = EncodedReport::copy(&report.vm, &report.frame());
+                routes.add(self.now, copy, report.vm == *from);
             }
         }
     }
@@ -81,10 +84,11 @@
         let mut in_flight = VecDeque::new();
         for vm in &vms {
             let report = LoadReport { sequence, ..LoadReport::default() };
+            let report = EncodedReport::encode(vm, &report);
             let Some(routes) = self.routes.get_mut(vm) else { continue };
-            routes.add(self.now, vm, &report, true);
+            routes.add(self.now, report.clone(), true);
             for (to, interest) in routes.receivers(self.now) {
-                in_flight.push_back((vm.clone(), to, interest, vec![(vm.clone(), report.clone())]));
+                in_flight.push_back((vm.clone(), to, interest, vec![report.clone()]));
             }
         }
         loop {
@@ -183,3 +187,79 @@
         [12, 24, 85, 300].map(|vms| format!("{vms} VMs: {:.0}", sent(vms)))
     );
 }
+
+/// Step of a random exchange of reports.
+#[derive(Clone, Debug)]
+enum ReportStep {
+    Report { vm: u8, incarnation: u64, sequence: u64, loads: Vec<(u32, u8, u8)>, waiting: u16 },
+    Pass { ms: u64 },
+}
+
+fn report_step() -> impl Strategy<Value = ReportStep> {
+    let loads = prop::collection::vec((0_u32..6, any::<u8>(), any::<u8>()), 0..5);
+    let report = (0_u8..6, 0_u64..3, 0_u64..20, loads, 0_u16..4).prop_map(
+        |(vm, incarnation, sequence, loads, waiting)| ReportStep::Report {
+            vm,
+            incarnation,
+            sequence,
+            loads,
+            waiting,
+        },
+    );
+    prop_oneof![5 => report, 1 => (1_u64..2000).prop_map(|ms| ReportStep::Pass { ms })]
+}
+
+proptest! {
+    /// Late, repeated and lost reports, restarts and silent VMs: no load is counted twice or left behind.
+    #[test]
+    fn sums_of_load_equal_last_reports(steps in prop::collection::vec(report_step(), 1..80)) {
+        let service = ServiceName::from("llm");
+        let mut fleet = FleetLoad::open(&VmId::from("vm0"));
+        let mut last: BTreeMap<VmId, (LoadReport, Duration)> = BTreeMap::new();
+        let mut now = Duration::from_secs(1);
+        for step in steps {
+            match step {
+                ReportStep::Pass { ms } => {
+                    now += Duration::from_millis(ms);
+                    for vm in fleet.expire(now) {
+                        last.remove(&vm);
+                    }
+                }
+                ReportStep::Report { vm, incarnation, sequence, loads, waiting } => {
+                    let vm = VmId::from(format!("vm{vm}"));
+                    let load = |(target, online, batch)| ReportedLoad { target, online, batch };
+                    let report = LoadReport {
+                        incarnation,
+                        sequence,
+                        targets: loads.into_iter().map(load).collect(),
+                        waiting: vec![ReportedWait {
+                            service: service_hash(&service),
+                            requests: waiting,
+                        }],
+                        ..LoadReport::default()
+                    };
+                    let encoded = EncodedReport::encode(&vm, &report);
+                    let is_new = fleet.new_report_vm(&encoded.frame()).is_some();
+                    prop_assert_eq!(encoded.frame().decode().unwrap(), report.clone());
+                    prop_assert_eq!(fleet.observe(now, &vm, &report), is_new);
+                    if is_new {
+                        last.insert(vm, (report, now));
+                    }
+                }
+            }
+            prop_assert!(!last.contains_key(&VmId::from("vm0")), "own reports are counted");
+            for target in 0..6 {
+                let loads = last.values().flat_map(|(report, _)| &report.targets);
+                let mut expected = ReportedUse::default();
+                for load in loads.filter(|load| load.target == target) {
+                    expected.all += u32::from(load.online) + u32::from(load.batch);
+                    expected.batch += u32::from(load.batch);
+                }
+                prop_assert_eq!(fleet.use_of(target), expected);
+            }
+            let waits = last.values().flat_map(|(report, _)| &report.waiting);
+            let expected: u32 = waits.map(|wait| u32::from(wait.requests)).sum();
+            prop_assert_eq!(fleet.waiting(&service), expected);
+        }
+    }
+}
--- a/crates/ebonydock/src/ids.rs
+++ b/crates/ebonydock/src/ids.rs
@@ -3,6 +3,7 @@
 //! Every kind of name that modules exchange has its own type, so that a workspace cannot be passed
 //! where a target is expected.
 
+use std::borrow::Borrow;
 use std::fmt;
 use std::sync::Arc;
 
@@ -28,6 +29,12 @@
             }
         }
 
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl From<&str> for $name {
             fn from(text: &str) -> Self {
                 Self(text.into())
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -35,11 +35,11 @@
     GatewayRefusal, GatewaySettings, GatewayWorkspace, JobApiResult, JobItem, JobItemResult,
     JobRefusal, JobResultPage, JobSubmission, LoadReport, LoadUpdate, OperatorRecord,
     OversizedEvent, PlacementOutcome, PooledBody, PooledResponse, PromptPart, QuotaLedger,
-    QuotaState, RefusalReason, ReportInterest, ReportedLoad, RequestDispatcher, RequestId,
-    ResponseBody, ResponseMeaning, RouteBackend, RouteCatalog, RouteClass, RouteMiss, RowDecoder,
-    SendError, ServiceProfile, ServingTarget, SlotNeed, SlotOutcome, SlotRefusal, SlotWaiter,
-    SpentQuota, StreamEvent, TargetAttempt, TargetBodyStream, TargetResponse, TargetTransport,
-    TokenDemand, open_decision_log,
+    QuotaState, RefusalReason, ReportFrame, ReportInterest, ReportedLoad, RequestDispatcher,
+    RequestId, ResponseBody, ResponseMeaning, RouteBackend, RouteCatalog, RouteClass, RouteMiss,
+    RowDecoder, SendError, ServiceProfile, ServingTarget, SlotNeed, SlotOutcome, SlotRefusal,
+    SlotWaiter, SpentQuota, StreamEvent, TargetAttempt, TargetBodyStream, TargetResponse,
+    TargetTransport, TokenDemand, open_decision_log,
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
--- a/crates/ebonydock/src/peers/endpoint.rs
+++ b/crates/ebonydock/src/peers/endpoint.rs
@@ -9,11 +9,12 @@
 
 use futures_util::future::LocalBoxFuture;
 use quinn::{Connection, Endpoint};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
 
+use crate::clock::monotonic;
 use crate::ids::VmId;
+use crate::peers::drop_log::DropLog;
 use crate::peers::messages::{Envelope, PeerDatagram, PeerReply, PeerRequest};
 use crate::peers::tls::PEER_SERVER_NAME;
 use crate::peers::{PeerError, TlsIdentity};
@@ -31,7 +32,7 @@
         request: PeerRequest,
     ) -> LocalBoxFuture<'static, PeerReply>;
     /// Handles a datagram.
-    fn handle_datagram(&self, from: VmId, datagram: PeerDatagram);
+    fn handle_datagram(&self, from: VmId, datagram: PeerDatagram<'_>);
 }
 
 #[derive(Debug, Default)]
@@ -54,6 +55,7 @@
     connecting: Arc<tokio::sync::Mutex<()>>,
     client: Arc<Mutex<Option<quinn::ClientConfig>>>,
     counters: Arc<TrafficCounters>,
+    drop_log: Arc<Mutex<DropLog>>,
     /// Connections opened by this endpoint. They are served as well, since the peer also sends on them.
     outgoing: mpsc::UnboundedSender<Connection>,
     outgoing_receiver: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<Connection>>>,
@@ -77,6 +79,7 @@
             connecting: Arc::default(),
             client,
             counters: Arc::default(),
+            drop_log: Arc::default(),
             outgoing,
             outgoing_receiver: Arc::new(tokio::sync::Mutex::new(outgoing_receiver)),
         })
@@ -141,13 +144,31 @@
         }
     }
 
+    /// Counts a message that was dropped because it could not be decoded, and logs it once in a while.
+    pub(crate) fn record_dropped(&self, now: Duration, from: &str, reason: &str) {
+        let mut drops = self.drop_log.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = drops.record(now) {
+            log::warn!(from = from, reason = reason, count = count; "messages of other VMs dropped");
+        }
+    }
+
+    /// Returns the number of messages dropped since start.
+    pub(crate) fn dropped_messages(&self) -> u64 {
+        self.drop_log.lock().unwrap_or_else(PoisonError::into_inner).total()
+    }
+
     /// Sends a datagram without waiting. Without an open connection, connects in the background first.
-    pub(crate) fn send_datagram(&self, vm: &VmId, address: SocketAddr, datagram: &PeerDatagram) {
+    pub(crate) fn send_datagram(
+        &self,
+        vm: &VmId,
+        address: SocketAddr,
+        datagram: &PeerDatagram<'_>,
+    ) {
         self.send_frame(vm, address, self.encode(datagram).into());
     }
 
     /// Encodes a datagram once so that it can be sent to several VMs.
-    pub(crate) fn encode_datagram(&self, datagram: &PeerDatagram) -> bytes::Bytes {
+    pub(crate) fn encode_datagram(&self, datagram: &PeerDatagram<'_>) -> bytes::Bytes {
         self.encode(datagram).into()
     }
 
@@ -258,13 +279,19 @@
                 }
                 datagram = connection.read_datagram() => {
                     let Ok(datagram) = datagram else { return };
-                    match decode::<Envelope<PeerDatagram>>(&datagram) {
+                    let reason = match decode::<Envelope<PeerDatagram<'_>>>(&datagram) {
+                        Ok(Envelope { body: PeerDatagram::EarlierLoad, .. }) => {
+                            "load report of an earlier format".to_owned()
+                        }
                         Ok(envelope) => {
                             self.adopt_connection(&envelope.from, &connection);
                             events.handle_datagram(envelope.from, envelope.body);
+                            continue;
                         }
-                        Err(error) => log::warn!("peers: Dropped a datagram from another VM: {error}."),
-                    }
+                        Err(error) => error,
+                    };
+                    let from = connection.remote_address().to_string();
+                    self.record_dropped(monotonic(), &from, &reason);
                 }
             }
         }
@@ -279,7 +306,7 @@
     decode(&reply)
 }
 
-fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, String> {
+fn decode<'a, T: Deserialize<'a>>(frame: &'a [u8]) -> Result<T, String> {
     postcard::from_bytes(frame).map_err(|error| format!("cannot decode message: {error}"))
 }
 
--- a/crates/ebonydock/src/peers/messages.rs
+++ b/crates/ebonydock/src/peers/messages.rs
@@ -82,9 +82,12 @@
 
 /// Message sent without acknowledgement; it may be lost.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum PeerDatagram {
+pub enum PeerDatagram<'a> {
     /// Heartbeat between VMs of a data centre.
     Heartbeat(Heartbeat),
+    /// Load reports of an earlier format, from VMs that are not upgraded yet. They are dropped.
+    EarlierLoad,
     /// Load that VMs place on targets and quotas.
-    Load(LoadUpdate),
+    #[serde(borrow)]
+    Load(LoadUpdate<'a>),
 }
--- a/crates/ebonydock/src/peers/mod.rs
+++ b/crates/ebonydock/src/peers/mod.rs
@@ -4,8 +4,11 @@
 //! request on the remote VM. Heartbeats and digests are datagrams: losing one costs less than
 //! retransmitting it.
 
+mod drop_log;
 mod endpoint;
 pub mod messages;
+#[cfg(test)]
+mod tests;
 mod tls;
 
 pub(crate) use endpoint::{PeerEndpoint, PeerEvents};
--- a/crates/ebonydock/src/vm/handler.rs
+++ b/crates/ebonydock/src/vm/handler.rs
@@ -117,7 +117,7 @@
         Box::pin(async move { self.reply(from, request).await })
     }
 
-    fn handle_datagram(&self, from: VmId, datagram: PeerDatagram) {
+    fn handle_datagram(&self, from: VmId, datagram: PeerDatagram<'_>) {
         // Only gateways use load reports.
         let PeerDatagram::Heartbeat(heartbeat) = datagram else { return };
         let shared = &self.context.shared;
