Load reports: relays of one group hear the VMs that report to each other

What callers saw: after most of a fleet was lost, some VMs did not hear of others for 4 to 6 s; they counted their quota share as lost and placed requests on targets that were full.

Cause: after losses, VMs of one group find different relays. A relay with subscribers reported to the other relays of its group without subscribing there, so it heard only the VMs that chose it.

Change: a relay subscribes to the direct reports of the other relays of its group.

--- a/crates/ebonydock/src/gateway/report_routes.rs
+++ b/crates/ebonydock/src/gateway/report_routes.rs
@@ -169,10 +169,10 @@
         let has_subscribers =
             self.subscribers(now).any(|(_, interest)| interest == ReportInterest::All);
         if has_subscribers || group_relays.contains(&self.local_vm) {
-            // A relay without subscribers is a relay only by its own view. The group's members report to
-            // other relays, so it subscribes to all reports there.
+            // Members may report to other relays of the group than this one, as VMs find different ones after
+            // losses. A relay without subscribers is a relay only by its own view.
             let interest =
-                if has_subscribers { ReportInterest::Nothing } else { ReportInterest::All };
+                if has_subscribers { ReportInterest::Group } else { ReportInterest::All };
             let others = group_relays.into_iter().filter(|vm| *vm != self.local_vm);
             receivers.extend(others.map(|vm| (vm, interest)));
             for group in 1..self.groups.len() {
