Cold starts: VMs take turns at a cold target

What targets saw: with 195 VMs, up to 33 requests within a second at a target that handles 7.8 (16.7 allowed) when a peak began while it was cold. Each VM had a share of the rate with a random offset; a share that was not used stayed available, so the whole fleet's shares added up until the peak.

Change: a turn starts every 1/rate seconds, in an order that all VMs derive from the member list and the target; an unused turn lapses after 500 ms. The decision has a module of its own, without a clock.

Bounds are unchanged; the fleet size is set as a list of members. large_fleet_uses_cold_start_capacity: 195 VMs with 2.4 requests a second each use at least half of 7.8.

--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/dispatcher.rs
@@ -10,6 +10,7 @@
 
 use rand::seq::SliceRandom;
 
+use crate::gateway::cold_start::{ColdStartCapacity, TurnOrder};
 use crate::gateway::fleet_load::FleetLoad;
 use crate::gateway::load::{LoadReport, ReportFrame, ReportedLoad, ReportedWait, service_hash};
 use crate::gateway::slots::{ServingTarget, SlotOutcome, TargetSlots};
@@ -32,10 +33,6 @@
 /// different targets. Smaller than one slot's fraction of a target.
 const SCORE_NOISE: f64 = 0.02;
 
-/// Number of VMs assumed to share a target's cold-start capacity until the real number is known. Larger
-/// than any real fleet, because too small a number would overload the target.
-const ASSUMED_FLEET_SIZE: usize = 300;
-
 /// Result of a request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlacementOutcome {
@@ -66,7 +63,7 @@
     pub(crate) queues: HashMap<ServiceName, ServiceQueue>,
     prefixes: HashMap<u64, TargetId>,
     sequence: u64,
-    fleet_size: usize,
+    turns: TurnOrder,
     report_age: Duration,
 }
 
@@ -82,7 +79,7 @@
             queues: HashMap::new(),
             prefixes: HashMap::new(),
             sequence: 0,
-            fleet_size: ASSUMED_FLEET_SIZE,
+            turns: TurnOrder::open(local_vm),
             report_age: Duration::ZERO,
         }
     }
@@ -98,6 +95,13 @@
             self.targets.insert(slots.target.id.clone(), slots);
         }
         self.update_reported_use();
+        self.update_cold_start_ranks(now);
+    }
+
+    fn update_cold_start_ranks(&mut self, now: Duration) {
+        for slots in self.targets.values_mut().filter(|slots| slots.cold_start.is_cold(now)) {
+            slots.cold_start.set_rank(self.turns.rank(slots.hash));
+        }
     }
 
     /// Sets the data centres whose targets receive no requests.
@@ -110,9 +114,10 @@
         self.cold_start_rates = rates;
     }
 
-    /// Sets the number of VMs that share the capacity of targets in cold start.
-    pub fn set_fleet_size(&mut self, vms: usize) {
-        self.fleet_size = vms.max(1);
+    /// Sets the VMs that share the capacity of targets in cold start, this one included.
+    pub fn set_members(&mut self, now: Duration, members: &[VmId]) {
+        self.turns.set_members(members);
+        self.update_cold_start_ranks(now);
     }
 
     /// Sets the mean age of the load reports of other VMs.
@@ -273,24 +278,24 @@
             return None;
         }
         let id = self.choose(now, need, queue)?;
-        let cold_start_share = self.cold_start_share(&need.service);
-        self.targets.get_mut(&id)?.acquire(now, need.class, cold_start_share);
+        let capacity = self.cold_start_capacity(&need.service);
+        self.targets.get_mut(&id)?.acquire(now, need.class, capacity);
         self.record_prefix(need.prefix, &id);
         queue.count_placement(now);
         queue.batch_allowance -= u32::from(is_batch && queue.batch_allowance > 0);
         Some(id)
     }
 
-    /// Returns this VM's share of a target's cold-start capacity, in requests per second; 0 means no limit.
-    fn cold_start_share(&self, service: &ServiceName) -> f64 {
-        self.cold_start_rates.get(service).copied().unwrap_or(0.0) / self.fleet_size as f64
+    fn cold_start_capacity(&self, service: &ServiceName) -> ColdStartCapacity {
+        let rate = self.cold_start_rates.get(service).copied().unwrap_or(0.0);
+        ColdStartCapacity { rate, vms: self.turns.vms() }
     }
 
     /// Returns the target with the lowest score in a random sample of the usable ones. The sample shrinks
     /// as more placements of other VMs are not reported yet, so that VMs with the same load reports do
     /// not all choose the same target.
     fn choose(&self, now: Duration, need: &SlotNeed, queue: &ServiceQueue) -> Option<TargetId> {
-        let cold_start_share = self.cold_start_share(&need.service);
+        let capacity = self.cold_start_capacity(&need.service);
         // Assumes that each VM places about as many requests as this one.
         let unreported =
             queue.placed_per_s() * self.live_vm_count() as f64 * self.report_age.as_secs_f64();
@@ -304,7 +309,7 @@
                 && slots.in_use() < slots.target.slots + max_queued(slots.target.slots)
                 && slots.is_usable(now, &self.out_of_service)
                 && !need.excluded.contains(id)
-                && !slots.is_cold_start_limited(now, cold_start_share)
+                && !slots.cold_start.is_limited(now, capacity)
         });
         let (mut local, mut remote) = (Vec::new(), Vec::new());
         for (id, slots) in candidates {
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 mod batch_balance;
 mod catalog;
+mod cold_start;
 mod connections;
 mod dispatcher;
 mod events;
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -108,9 +108,15 @@
         others + 1
     }
 
-    /// Returns the number of VMs, this one included, or `None` until the member table has been read.
-    pub(crate) fn known_members(&self) -> Option<usize> {
-        self.has_member_list.get().then(|| self.member_count())
+    /// Returns the VMs, this one included, or `None` until the member table has been read.
+    pub(crate) fn known_members(&self) -> Option<Vec<VmId>> {
+        let vms = || self.report_members().into_iter().map(|member| member.vm).collect();
+        self.has_member_list.get().then(vms)
+    }
+
+    /// Returns whether the member table has been read.
+    pub(crate) fn has_member_list(&self) -> bool {
+        self.has_member_list.get()
     }
 
     /// Returns whether a VM is published with this incarnation.
@@ -239,7 +245,7 @@
         let follower = self.follow(MEMBER_TABLE, vec![String::new()], FeedPacing::Rare);
         tokio::task::spawn_local(follower.run(|core, update, _| {
             core.peering.apply_update(update);
-            core.update_quota_members();
+            core.update_members();
         }));
         tokio::task::spawn_local(report_load(Rc::clone(self)));
         tokio::task::spawn_local(forward_reports(Rc::clone(self)));
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -234,10 +234,12 @@
         *self.catalog.borrow_mut() = Some(Rc::new(RouteCatalog::open(config)));
     }
 
-    /// Sets the number of VMs that share the quotas, once it is known.
-    pub(crate) fn update_quota_members(&self) {
+    /// Sets the VMs that share the quotas and the capacity of targets in cold start, once they are known.
+    pub(crate) fn update_members(&self) {
         if let Some(members) = self.peering.known_members() {
-            self.quotas.borrow_mut().set_members(monotonic(), members);
+            let now = monotonic();
+            self.quotas.borrow_mut().set_members(now, members.len());
+            self.dispatcher.borrow_mut().set_members(now, &members);
         }
     }
 
@@ -298,10 +300,8 @@
         for vm in &silent {
             log::warn!(vm = vm.as_str(); "peer lost");
         }
-        if let Some(members) = core.peering.known_members() {
-            let mut dispatcher = core.dispatcher.borrow_mut();
-            dispatcher.set_fleet_size(members);
-            dispatcher.set_report_age(core.report_age());
+        if core.peering.has_member_list() {
+            core.dispatcher.borrow_mut().set_report_age(core.report_age());
         }
         if core.listing.borrow_mut().expire(now) {
             core.refresh_targets();
--- a/crates/ebonydock/src/gateway/slots.rs
+++ b/crates/ebonydock/src/gateway/slots.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::gateway::cold_start::{ColdStartCapacity, ColdStartTurns};
 use crate::gateway::load::target_hash;
 use crate::ids::{DataCentreId, ServiceName, TargetId};
 use crate::scheduling::RequestClass;
@@ -63,12 +64,7 @@
     /// Requests and batch items of other VMs, and the batch items among them.
     pub(crate) reported: u32,
     pub(crate) reported_batch: u32,
-    cold_since: Duration,
-    cold_until: Duration,
-    cold_next: Duration,
-    /// Random fraction of this VM's interval between requests in cold start; delays its first request. The
-    /// capacity covers all VMs together, so their first requests must not arrive at the same time.
-    cold_offset: f64,
+    pub(crate) cold_start: ColdStartTurns,
     backoff_until: Duration,
     failures: u32,
     misdirected: bool,
@@ -79,10 +75,7 @@
     pub(crate) fn open(target: ServingTarget, now: Duration) -> Self {
         Self {
             hash: target_hash(&target.id),
-            cold_since: now,
-            cold_until: now + target.cold_for,
-            cold_next: now,
-            cold_offset: rand::random(),
+            cold_start: ColdStartTurns::open(now, target.cold_for),
             target,
             online: 0,
             batch: 0,
@@ -97,11 +90,7 @@
     /// Applies a new listing of the same incarnation.
     pub(crate) fn update(&mut self, target: ServingTarget, now: Duration) {
         if self.target != target {
-            if now >= self.cold_until {
-                self.cold_since = now;
-                self.cold_offset = rand::random();
-            }
-            self.cold_until = now + target.cold_for;
+            self.cold_start.extend(now, target.cold_for);
             self.target = target;
         }
     }
@@ -140,23 +129,15 @@
         self.is_in_service(out_of_service) && is_within_probe_limit && now >= self.backoff_until
     }
 
-    /// Returns whether this VM has used up its share of the target's cold-start capacity.
-    /// `cold_start_share` is in requests per second; 0 means no limit.
-    pub(crate) fn is_cold_start_limited(&self, now: Duration, cold_start_share: f64) -> bool {
-        if cold_start_share <= 0.0 || now >= self.cold_until {
-            return false;
-        }
-        let offset = Duration::from_secs_f64(self.cold_offset / cold_start_share);
-        now < self.cold_next.max(self.cold_since + offset)
-    }
-
-    /// Acquires a slot. `cold_start_share` is this VM's share of the target's cold-start capacity, in
-    /// requests per second; 0 means no limit.
-    pub(crate) fn acquire(&mut self, now: Duration, class: RequestClass, cold_start_share: f64) {
+    /// Acquires a slot, and uses this VM's turn at a target in cold start.
+    pub(crate) fn acquire(
+        &mut self,
+        now: Duration,
+        class: RequestClass,
+        capacity: ColdStartCapacity,
+    ) {
         *self.count_mut(class) += 1;
-        if now < self.cold_until && cold_start_share > 0.0 {
-            self.cold_next = now + Duration::from_secs_f64(1.0 / cold_start_share);
-        }
+        self.cold_start.take(now, capacity);
     }
 
     /// Releases a slot. A failed or full target enters backoff.
--- a/crates/ebonydock/src/gateway/tests/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/tests/dispatcher.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use yare::parameterized;
 
 use crate::gateway::dispatcher::{PlacementOutcome, RequestDispatcher};
@@ -33,11 +35,19 @@
 }
 
 fn dispatcher_with(targets: Vec<ServingTarget>) -> RequestDispatcher {
-    let mut dispatcher = RequestDispatcher::open(&VmId::from("local"), &DataCentreId::from("a"));
+    dispatcher_of("local", targets)
+}
+
+fn dispatcher_of(vm: &str, targets: Vec<ServingTarget>) -> RequestDispatcher {
+    let mut dispatcher = RequestDispatcher::open(&VmId::from(vm), &DataCentreId::from("a"));
     dispatcher.set_targets(Duration::ZERO, targets);
     dispatcher
 }
 
+fn fleet_members(vms: usize) -> Vec<VmId> {
+    (0..vms).map(|vm| VmId::from(format!("vm{vm}"))).collect()
+}
+
 fn need(class: RequestClass, received: u64) -> SlotNeed {
     SlotNeed {
         service: ServiceName::from("llm"),
@@ -188,9 +198,9 @@
     let mut cold = target("t", "a");
     cold.cold_for = ms(3000);
     cold.slots = 1000;
-    let mut dispatcher = dispatcher_with(vec![cold]);
+    let mut dispatcher = dispatcher_of("vm0", vec![cold]);
     dispatcher.set_cold_start_rates(HashMap::from([(ServiceName::from("llm"), 10.0)]));
-    dispatcher.set_fleet_size(5);
+    dispatcher.set_members(ms(0), &fleet_members(5));
     let mut sent = 0;
     for tick in 0..200 {
         let now = ms(tick * 10);
@@ -203,36 +213,84 @@
     assert!((4..=5).contains(&sent), "{sent}");
 }
 
+/// Fleet whose VMs all see one target in cold start.
+struct ColdFleet {
+    dispatchers: Vec<RequestDispatcher>,
+    rate: f64,
+    /// Times of the requests that the target got, in ticks of 10 ms.
+    sent: Vec<u64>,
+}
+
+impl ColdFleet {
+    fn open(vms: usize, rate: f64) -> Self {
+        let mut cold = target("t", "a");
+        cold.cold_for = ms(5000);
+        cold.slots = 1000;
+        let members = fleet_members(vms);
+        let dispatcher = |vm: &VmId| {
+            let mut dispatcher = dispatcher_of(vm.as_str(), vec![cold.clone()]);
+            dispatcher.set_cold_start_rates(HashMap::from([(ServiceName::from("llm"), rate)]));
+            dispatcher.set_members(ms(0), &members);
+            dispatcher
+        };
+        Self { dispatchers: members.iter().map(dispatcher).collect(), rate, sent: Vec::new() }
+    }
+
+    /// Plays one tick in which the VMs selected by `has_request` get a request each.
+    fn tick(&mut self, tick: u64, mut has_request: impl FnMut(usize) -> bool) {
+        let now = ms(tick * 10);
+        for (vm, dispatcher) in self.dispatchers.iter_mut().enumerate() {
+            let at_once = has_request(vm)
+                && matches!(
+                    dispatcher.request(now, online(tick * 10)),
+                    PlacementOutcome::Placed(_)
+                );
+            let decided = dispatcher.advance(now);
+            let later = decided.iter().filter(|(.., outcome)| outcome.is_ok()).count();
+            self.sent.extend(std::iter::repeat_n(tick, later + usize::from(at_once)));
+        }
+    }
+
+    fn assert_capacity_is_kept(&self) {
+        let max_count = self.rate * 1.5 + 5.0;
+        for start in 0..400 {
+            let count =
+                self.sent.iter().filter(|tick| (start..start + 100).contains(*tick)).count();
+            assert!((count as f64) <= max_count, "{count} of {max_count} from {start}");
+        }
+    }
+}
+
 /// All 85 VMs of a fleet have requests for a target that can handle 13 requests per second in cold start.
 #[test]
 fn fleet_stays_within_cold_start_capacity() {
-    let cold_start_rate = 13.0;
-    let mut cold = target("t", "a");
-    cold.cold_for = ms(3000);
-    cold.slots = 1000;
-    let mut boards: Vec<RequestDispatcher> =
-        (0..85).map(|_| dispatcher_with(vec![cold.clone()])).collect();
-    for dispatcher in &mut boards {
-        dispatcher
-            .set_cold_start_rates(HashMap::from([(ServiceName::from("llm"), cold_start_rate)]));
-        dispatcher.set_fleet_size(85);
-    }
-    let mut sent = Vec::new();
+    let mut fleet = ColdFleet::open(85, 13.0);
     for tick in 0..300 {
-        let now = ms(tick * 10);
-        for dispatcher in &mut boards {
-            let at_once =
-                matches!(dispatcher.request(now, online(tick * 10)), PlacementOutcome::Placed(_));
-            let later =
-                dispatcher.advance(now).iter().filter(|(.., outcome)| outcome.is_ok()).count();
-            sent.extend(std::iter::repeat_n(tick, later + usize::from(at_once)));
-        }
+        fleet.tick(tick, |_| true);
     }
-    let max_count = cold_start_rate * 1.5 + 5.0;
-    for start in 0..200 {
-        let count = sent.iter().filter(|tick| (start..start + 100).contains(*tick)).count();
-        assert!((count as f64) <= max_count, "{count} of {max_count} from {start}");
+    fleet.assert_capacity_is_kept();
+    assert!(fleet.sent.len() >= 37, "{} of 39 are sent", fleet.sent.len());
+}
+
+/// 195 VMs that get 2.4 requests per second each, of which a target handles 7.8 per second of all VMs.
+#[test]
+fn large_fleet_uses_cold_start_capacity() {
+    let mut random = StdRng::seed_from_u64(1);
+    let mut fleet = ColdFleet::open(195, 7.8);
+    for tick in 0..500 {
+        fleet.tick(tick, |_| random.random::<f64>() < 0.024);
+    }
+    fleet.assert_capacity_is_kept();
+    assert!(fleet.sent.len() >= 20, "{} of 39 are sent", fleet.sent.len());
+}
+
+#[test]
+fn unused_cold_start_capacity_does_not_accumulate_until_a_peak() {
+    let mut fleet = ColdFleet::open(195, 7.8);
+    for tick in 0..450 {
+        fleet.tick(tick, |_| tick >= 350);
     }
+    fleet.assert_capacity_is_kept();
 }
 
 #[test]
