--- a/crates/ebonydock/src/gateway/tests/quota.rs
+++ b/crates/ebonydock/src/gateway/tests/quota.rs
@@ -370,7 +370,7 @@
     for seed in 1..=3 {
         let partition_ms = from_ms..from_ms + 5000;
         let load = 4.7;
-        assert_quota_holds(&QuotaScenario { load, parts, partition_ms, seed, ..large_fleet() });
+        assert_quota_holds(&QuotaScenario { load, partition_ms, parts, seed, ..large_fleet() });
     }
 }
 
@@ -378,7 +378,7 @@
 #[test]
 fn large_fleet_keeps_quota_across_partition_far_over_it() {
     let (load, parts, partition_ms) = (9.4, 5, 6000..11_000);
-    assert_quota_holds(&QuotaScenario { load, parts, partition_ms, ..large_fleet() });
+    assert_quota_holds(&QuotaScenario { load, partition_ms, parts, ..large_fleet() });
 }
 
 /// What the other side of a partition is assumed to have spent must not cost a workspace below its limit.
