Load reports: two copies travel between groups instead of four or more

Both relays of a group subscribed at both relays of every other group, so each report entered each group four times, and reports of relays themselves were forwarded as if their VMs belonged to the group: once more for each pair.

Change: the first relays of all groups exchange reports, and so do the second ones; within a group the relays exchange everything, so that the loss of one leaves no gap. Only reports of VMs that subscribe to all reports are forwarded to other groups; a relay of another group subscribes to its group's.

Evidence: reports_cross_to_each_group_of_other_data_centres_twice fails before (8 copies into a data centre of two groups, 4 expected).

--- a/crates/ebonydock/src/gateway/report_routes.rs
+++ b/crates/ebonydock/src/gateway/report_routes.rs
@@ -123,9 +123,15 @@
 
     /// Adds a new report to forward. `is_direct` tells whether it came from the VM that it describes.
     pub(crate) fn add(&mut self, now: Duration, report: EncodedReport, is_direct: bool) {
-        if self.has_subscribers(now) {
-            self.pending.insert(report.vm.clone(), PendingReport { report, is_direct });
+        if !self.has_subscribers(now) {
+            return;
         }
+        // A relay of another group also sends its own report; that group's relays forward it to the others.
+        let subscriber = self.subscribers.get(&report.vm);
+        let is_relay_of_other_group =
+            subscriber.is_some_and(|(interest, _)| *interest == ReportInterest::Group);
+        let is_direct = is_direct && !is_relay_of_other_group;
+        self.pending.insert(report.vm.clone(), PendingReport { report, is_direct });
     }
 
     /// Returns whether any VM has a current subscription.
@@ -165,19 +171,19 @@
         }
         self.mark_unresponsive(now);
         let group_relays = self.relays(now, 0);
+        let position = group_relays.iter().position(|vm| *vm == self.local_vm);
         let mut receivers = Vec::new();
         let has_subscribers =
             self.subscribers(now).any(|(_, interest)| interest == ReportInterest::All);
-        if has_subscribers || group_relays.contains(&self.local_vm) {
+        if has_subscribers || position.is_some() {
             // Members may report to other relays of the group than this one, as VMs find different ones after
-            // losses. A relay without subscribers is a relay only by its own view.
-            let interest =
-                if has_subscribers { ReportInterest::Group } else { ReportInterest::All };
+            // losses.
             let others = group_relays.into_iter().filter(|vm| *vm != self.local_vm);
-            receivers.extend(others.map(|vm| (vm, interest)));
+            receivers.extend(others.map(|vm| (vm, ReportInterest::All)));
             for group in 1..self.groups.len() {
-                let relays = self.relays(now, group).into_iter();
-                receivers.extend(relays.map(|vm| (vm, ReportInterest::Group)));
+                let relays = self.relays(now, group);
+                let relays = counterparts(&relays, position);
+                receivers.extend(relays.iter().map(|vm| (vm.clone(), ReportInterest::Group)));
             }
         } else {
             receivers.extend(group_relays.into_iter().map(|vm| (vm, ReportInterest::All)));
@@ -244,6 +250,18 @@
     }
 }
 
+/// Returns the relays of another group that a relay exchanges reports with. The first relays of all groups
+/// exchange reports, and so do the second ones, so that two copies of each report travel between groups and
+/// either is enough. After losses, candidates that are not known to be live are all included.
+fn counterparts(relays: &[VmId], position: Option<usize>) -> &[VmId] {
+    match position {
+        Some(position) if relays.len() == RELAYS_PER_GROUP && position < relays.len() => {
+            &relays[position..=position]
+        }
+        _ => relays,
+    }
+}
+
 /// Splits the members of each data centre into groups; the group of `local_vm` comes first.
 fn group_members(local_vm: &VmId, members: &[ReportMember]) -> Vec<Vec<VmId>> {
     let mut data_centres: BTreeMap<&DataCentreId, Vec<&ReportMember>> = BTreeMap::new();
--- a/crates/ebonydock/src/gateway/tests/reports.rs
+++ b/crates/ebonydock/src/gateway/tests/reports.rs
@@ -31,6 +31,9 @@
     lost: BTreeSet<VmId>,
     now: Duration,
     datagrams: usize,
+    data_centres: HashMap<VmId, DataCentreId>,
+    /// Copies of each VM's reports that entered another data centre.
+    copies: HashMap<(VmId, DataCentreId), usize>,
 }
 
 impl ReportFleet {
@@ -46,6 +49,11 @@
             lost: BTreeSet::new(),
             now: Duration::from_secs(1),
             datagrams: 0,
+            data_centres: members
+                .iter()
+                .map(|member| (member.vm.clone(), member.data_centre.clone()))
+                .collect(),
+            copies: HashMap::new(),
         }
     }
 
@@ -57,6 +65,16 @@
         reports: &[EncodedReport],
     ) {
         self.datagrams += 1;
+        let data_centre = &self.data_centres[to];
+        if self.data_centres[from] != *data_centre {
+            for report in
+                reports.iter().filter(|report| self.data_centres[&report.vm] != *data_centre)
+            {
+                let copies =
+                    self.copies.entry((report.vm.clone(), data_centre.clone())).or_default();
+                *copies += 1;
+            }
+        }
         if self.lost.contains(to) {
             return;
         }
@@ -173,6 +191,23 @@
     assert_eq!(fleet.missing(sequence), vec![]);
 }
 
+/// Traffic between data centres is expensive. Relays send their own reports in addition, which renews their
+/// subscriptions.
+#[test]
+fn reports_cross_to_each_group_of_other_data_centres_twice() {
+    let members = members(195, 5);
+    let mut fleet = ReportFleet::open(&members);
+    let sequence = fleet.settle(1);
+    fleet.copies.clear();
+    fleet.tick(sequence);
+    let groups_per_data_centre = 2;
+    let mut copies: Vec<usize> = fleet.copies.values().copied().collect();
+    copies.sort_unstable();
+    assert_eq!(copies.len(), 195 * 4);
+    assert_eq!(copies[copies.len() / 2], 2 * groups_per_data_centre);
+    assert!(copies[copies.len() - 1] <= 4 * groups_per_data_centre, "{copies:?}");
+}
+
 #[test]
 fn large_fleet_sends_few_datagrams() {
     let sent = |vms: usize| {
