Streams: an abandoned response never looks complete, and slow callers free their target

What callers could see: a forwarding task that ended without sending an error (cancelled, or panicked) closed the queue to the caller's connection, and the response ended as if it were whole. A caller that stopped reading held its target's slot beyond its deadline, for as long as it kept the connection.

Cause: the end of a body was the closing of the queue, and the wait for room in the queue had no limit.

Change: the end of a body is sent explicitly (response_body); a queue that closes without it is a broken body, which terminates the connection. While the target still produces, a chunk waits for room until the deadline; a body that the target has completed releases its slot at once and is delivered however slowly it is read.

Evidence: abandoned_response_does_not_look_complete and caller_that_stops_reading_does_not_occupy_target_past_its_deadline fail without the two mechanisms; complete_response_is_delivered_to_slow_caller_after_its_deadline passes before and after.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -6,7 +6,6 @@
 use futures_util::StreamExt;
 use http::{HeaderName, HeaderValue, StatusCode};
 use ntex::util::{Bytes, BytesMut};
-use tokio::sync::mpsc;
 
 use crate::clock::monotonic;
 use crate::gateway::catalog::{ForwardRoute, RouteCatalog, RouteMiss};
@@ -15,6 +14,7 @@
 use crate::gateway::leases::SlotLease;
 use crate::gateway::quota::QuotaState;
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
+use crate::gateway::response_body::{BodyReceiver, BodySender, QueueError, open_body};
 use crate::gateway::runtime::{GatewayCore, RunningCount};
 use crate::gateway::slots::SlotOutcome;
 use crate::gateway::traces::log_over_quota;
@@ -28,9 +28,6 @@
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 /// Limit for attempts that did not run, which do not count against the route's own limit.
 const MAX_NOT_RUN_ATTEMPTS: usize = 6;
-/// Chunks of a response, each up to 64 KB, that are queued for a slow caller. While the queue is full,
-/// nothing is read from the target's connection.
-const MAX_QUEUED_CHUNKS: usize = 16;
 /// Fraction of the latency objective that a request may wait for a target. The rest is left for the
 /// target to produce the first event and for the transfer to the caller.
 const MAX_WAIT_FRACTION: f64 = 0.7;
@@ -53,7 +50,7 @@
     Whole(Bytes),
     /// Chunks as they arrive. An error means that the response broke off. Dropping the receiver cancels
     /// the request.
-    Chunks(mpsc::Receiver<Result<Bytes, SendError>>),
+    Chunks(BodyReceiver),
 }
 
 /// Why a request got no response from a target.
@@ -326,7 +323,7 @@
             }
         };
         self.metrics.count_first_event(admitted, monotonic());
-        let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        let (chunks, receiver) = open_body();
         let response = ForwardResponse {
             status: attempt.response.status,
             headers: std::mem::take(&mut attempt.response.headers),
@@ -391,32 +388,41 @@
         attempt: RunningAttempt,
         first: Bytes,
     ) -> ResponseBody {
-        let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+        let (chunks, receiver) = open_body();
         let ends_at = admitted.ends_at;
         let running = self.count_running();
         tokio::task::spawn_local(async move {
             let _running = running;
             let RunningAttempt { response, lease } = attempt;
             let mut body = response.body;
+            let time_left = || ends_at.saturating_sub(monotonic());
             let mut chunk = Some(Ok(first));
             while let Some(next) = chunk {
-                let broken = next.is_err();
-                if chunks.send(next).await.is_err() || broken {
-                    return lease.release(if broken {
-                        SlotOutcome::Failed
-                    } else {
-                        SlotOutcome::Cancelled
-                    });
+                match next {
+                    Ok(next) => match chunks.send(next, time_left()).await {
+                        Ok(()) => {}
+                        Err(QueueError::CallerLeft) => {
+                            return lease.release(SlotOutcome::Cancelled);
+                        }
+                        Err(QueueError::DeadlinePassed) => {
+                            lease.release(SlotOutcome::Cancelled);
+                            return chunks.fail(deadline_error());
+                        }
+                    },
+                    Err(error) => {
+                        lease.release(SlotOutcome::Failed);
+                        return chunks.fail(error);
+                    }
                 }
-                let time_left = ends_at.saturating_sub(monotonic());
                 chunk = tokio::select! {
                     () = chunks.closed() => return lease.release(SlotOutcome::Cancelled),
-                    chunk = tokio::time::timeout(time_left, body.next()) => chunk.unwrap_or_else(|_| {
-                        Some(Err(SendError::Lost("the deadline passed before the response was complete".into())))
-                    }),
+                    chunk = tokio::time::timeout(time_left(), body.next()) => {
+                        chunk.unwrap_or_else(|_| Some(Err(deadline_error())))
+                    }
                 };
             }
             lease.release(SlotOutcome::Responded);
+            chunks.finish(None).await;
         });
         ResponseBody::Chunks(receiver)
     }
@@ -434,6 +440,10 @@
     }
 }
 
+fn deadline_error() -> SendError {
+    SendError::Lost("the deadline passed before the response was complete".to_owned())
+}
+
 fn slot_need(admitted: &AdmittedRequest, history: &AttemptHistory, place_by: Duration) -> SlotNeed {
     let prefix = admitted.request.demand.as_ref().and_then(TokenDemand::shared_prefix);
     // A request that failed once is late already, so it may wait for a target up to its deadline.
@@ -494,7 +504,7 @@
     history: AttemptHistory,
     last_event: Option<u64>,
     splitter: EventSplitter,
-    chunks: mpsc::Sender<Result<Bytes, SendError>>,
+    chunks: BodySender,
 }
 
 enum StreamStep {
@@ -510,9 +520,14 @@
         loop {
             match next {
                 StreamStep::Chunk(Some(Ok(bytes))) => match self.forward_events(&bytes).await {
-                    Ok(true) => {}
-                    Ok(false) => {
-                        return self.finish(attempt.lease, SlotOutcome::Cancelled, "caller_left");
+                    Ok(Ok(())) => {}
+                    Ok(Err(QueueError::CallerLeft)) => {
+                        next = StreamStep::CallerLeft;
+                        continue;
+                    }
+                    Ok(Err(QueueError::DeadlinePassed)) => {
+                        next = StreamStep::DeadlinePassed;
+                        continue;
                     }
                     Err(error) => {
                         next = StreamStep::Chunk(Some(Err(SendError::Lost(error.to_string()))));
@@ -520,8 +535,10 @@
                     }
                 },
                 StreamStep::Chunk(None) => {
-                    self.flush().await;
-                    return self.finish(attempt.lease, SlotOutcome::Responded, "complete");
+                    self.release(attempt.lease, SlotOutcome::Responded, "complete");
+                    // Bytes after the last complete event.
+                    let rest = self.splitter.take_rest();
+                    return self.chunks.finish((!rest.is_empty()).then_some(rest)).await;
                 }
                 StreamStep::Chunk(Some(Err(error))) => {
                     self.core.log_interruption(&self.admitted, &attempt, &error.to_string());
@@ -532,17 +549,15 @@
                     lease.release(SlotOutcome::Failed);
                     match self.resume().await {
                         Some(resumed) => attempt = resumed,
-                        None => return self.fail(error).await,
+                        None => return self.chunks.fail(error),
                     }
                 }
                 StreamStep::CallerLeft => {
-                    return self.finish(attempt.lease, SlotOutcome::Cancelled, "caller_left");
+                    return self.release(attempt.lease, SlotOutcome::Cancelled, "caller_left");
                 }
                 StreamStep::DeadlinePassed => {
-                    self.finish(attempt.lease, SlotOutcome::Cancelled, "time_over");
-                    return self
-                        .fail(SendError::Lost("the deadline passed before the stream ended".into()))
-                        .await;
+                    self.release(attempt.lease, SlotOutcome::Cancelled, "time_over");
+                    return self.chunks.fail(deadline_error());
                 }
             }
             next = self.next_step(&mut attempt).await;
@@ -558,25 +573,19 @@
         }
     }
 
-    /// Forwards complete events and returns whether the caller is still connected.
-    async fn forward_events(&mut self, bytes: &[u8]) -> Result<bool, OversizedEvent> {
+    /// Forwards complete events. A caller that doesn't read them occupies the target until its deadline.
+    async fn forward_events(
+        &mut self,
+        bytes: &[u8],
+    ) -> Result<Result<(), QueueError>, OversizedEvent> {
         self.splitter.push(bytes);
         while let Some(event) = self.splitter.next_event()? {
-            if self.chunks.send(Ok(event.raw)).await.is_err() {
-                return Ok(false);
+            if let Err(error) = self.chunks.send(event.raw, self.admitted.time_left()).await {
+                return Ok(Err(error));
             }
             self.last_event = event.id.or(self.last_event);
         }
-        Ok(true)
-    }
-
-    /// Forwards the bytes after the last complete event of a complete response.
-    async fn flush(&mut self) {
-        let rest = self.splitter.take_rest();
-        if !rest.is_empty() {
-            // Sending fails only if the caller has disconnected.
-            let _ = self.chunks.send(Ok(rest)).await;
-        }
+        Ok(Ok(()))
     }
 
     /// Continues the response at another target, after the last event that the caller received.
@@ -600,13 +609,8 @@
         }
     }
 
-    fn finish(&self, lease: SlotLease, usage: SlotOutcome, outcome: &str) {
+    fn release(&self, lease: SlotLease, usage: SlotOutcome, outcome: &str) {
         self.core.log_stream_end(&self.admitted, lease.target(), outcome, self.last_event);
         lease.release(usage);
     }
-
-    async fn fail(&self, error: SendError) {
-        // Sending fails only if the caller has disconnected.
-        let _ = self.chunks.send(Err(error)).await;
-    }
 }
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 mod report_exchange;
 mod report_routes;
 mod request;
+mod response_body;
 mod runtime;
 mod slots;
 #[cfg(test)]
@@ -62,6 +63,7 @@
 pub use quota::{QuotaLedger, QuotaState};
 pub use report_routes::ReportInterest;
 pub use request::{ForwardedRequest, PromptPart, RequestId, TokenDemand};
+pub use response_body::BodyReceiver;
 pub use slots::{ServingTarget, SlotOutcome};
 pub use transport::{
     ResponseMeaning, TargetAttempt, TargetBodyStream, TargetResponse, TargetTransport,
--- /dev/null
+++ b/crates/ebonydock/src/gateway/response_body.rs
@@ -0,0 +1,95 @@
+//! Queue of body chunks between the task that reads a target's response and the caller's connection.
+//!
+//! The end of a body is sent explicitly. A sender that goes away without it, for example because its task was
+//! cancelled, leaves a broken body, never one that looks complete.
+
+use std::time::Duration;
+
+use ntex::util::Bytes;
+use tokio::sync::mpsc;
+
+use crate::gateway::connections::SendError;
+
+/// Chunks, each up to 64 KB, that are queued for a slow caller. While the queue is full, nothing is read from
+/// the target's connection.
+const MAX_QUEUED_CHUNKS: usize = 16;
+
+enum BodyPart {
+    Chunk(Bytes),
+    Failed(SendError),
+    End,
+}
+
+/// Receives the chunks of a body. Dropping it cancels the request.
+pub struct BodyReceiver {
+    parts: mpsc::Receiver<BodyPart>,
+    has_ended: bool,
+}
+
+impl BodyReceiver {
+    /// Returns the next chunk, `None` after a complete body, or an error if the response broke off.
+    pub async fn recv(&mut self) -> Option<Result<Bytes, SendError>> {
+        if self.has_ended {
+            return None;
+        }
+        match self.parts.recv().await {
+            Some(BodyPart::Chunk(chunk)) => Some(Ok(chunk)),
+            Some(BodyPart::End) => {
+                self.has_ended = true;
+                None
+            }
+            Some(BodyPart::Failed(error)) => Some(Err(error)),
+            None => Some(Err(SendError::Lost("the response was abandoned".to_owned()))),
+        }
+    }
+}
+
+/// Why a chunk was not queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum QueueError {
+    CallerLeft,
+    /// The caller read too slowly until the deadline.
+    DeadlinePassed,
+}
+
+/// Sends the chunks of a body.
+pub(crate) struct BodySender {
+    parts: mpsc::Sender<BodyPart>,
+}
+
+impl BodySender {
+    /// Queues a chunk, waiting at most `time_left` for room.
+    pub(crate) async fn send(&self, chunk: Bytes, time_left: Duration) -> Result<(), QueueError> {
+        match tokio::time::timeout(time_left, self.parts.send(BodyPart::Chunk(chunk))).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(QueueError::CallerLeft),
+            Err(_) => Err(QueueError::DeadlinePassed),
+        }
+    }
+
+    /// Queues the last chunk, if any, and the end of a complete body, waiting until the caller has read so far.
+    pub(crate) async fn finish(self, last: Option<Bytes>) {
+        // Sending fails only if the caller has disconnected.
+        if let Some(last) = last {
+            let _ = self.parts.send(BodyPart::Chunk(last)).await;
+        }
+        let _ = self.parts.send(BodyPart::End).await;
+    }
+
+    /// Reports that the response broke off, after the chunks that are queued.
+    pub(crate) fn fail(self, error: SendError) {
+        // Without room for the reason, the caller still sees that the body has no end.
+        let _ = self.parts.try_send(BodyPart::Failed(error));
+    }
+
+    /// Waits until the caller has disconnected.
+    pub(crate) async fn closed(&self) {
+        self.parts.closed().await;
+    }
+}
+
+/// Opens the queue of one body.
+pub(crate) fn open_body() -> (BodySender, BodyReceiver) {
+    let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    (BodySender { parts: sender }, BodyReceiver { parts: receiver, has_ended: false })
+}
--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use ntex::util::Bytes;
 use yare::parameterized;
 
 use crate::gateway::connections::SendError;
 use crate::gateway::forward::{ForwardResponse, GatewayRefusal, RefusalReason, ResponseBody};
+use crate::gateway::response_body::open_body;
 use crate::gateway::tests::catalog::config;
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, event, request, run};
 
@@ -159,6 +161,49 @@
     });
 }
 
+#[test]
+fn caller_that_stops_reading_does_not_occupy_target_past_its_deadline() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Events(1000, true)));
+        let gateway = site.gateway("vm1").await;
+        let mut slow = request("r1", "/chat/1");
+        slow.caller_timeout = Some(Duration::from_millis(600));
+        let response = gateway.forward(slow).await.ok().unwrap();
+        let ResponseBody::Chunks(mut chunks) = response.body else { panic!("no stream") };
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(site.targets.open.get(), 1, "the stream is sound until the deadline");
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        assert_eq!(site.targets.open.get(), 0);
+        while let Some(Ok(_)) = chunks.recv().await {}
+        assert!(chunks.recv().await.is_some_and(|chunk| chunk.is_err()), "it looks complete");
+    });
+}
+
+#[test]
+fn abandoned_response_does_not_look_complete() {
+    run(async {
+        let (sender, mut receiver) = open_body();
+        sender.send(Bytes::from_static(b"half"), Duration::from_secs(1)).await.unwrap();
+        // As when the forwarding task is cancelled.
+        drop(sender);
+        assert_eq!(receiver.recv().await.unwrap().unwrap(), "half");
+        assert!(receiver.recv().await.unwrap().is_err());
+    });
+}
+
+#[test]
+fn complete_response_is_delivered_to_slow_caller_after_its_deadline() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Events(10, true)));
+        let gateway = site.gateway("vm1").await;
+        let mut slow = request("r1", "/chat/1");
+        slow.caller_timeout = Some(Duration::from_millis(400));
+        let response = gateway.forward(slow).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert_eq!(read(response).await, (events(1..=10), true));
+    });
+}
+
 #[test]
 fn request_times_out_at_its_deadline() {
     run(async {
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -30,12 +30,12 @@
     WorkspaceEntry,
 };
 pub use gateway::{
-    BatchPolicy, BatchPreemption, BodyBudget, CallerLimits, ConnectionPool, EventSplitter,
-    ForwardResponse, ForwardRoute, ForwardedRequest, Gateway, GatewayConfig, GatewayMetrics,
-    GatewayRefusal, GatewaySettings, GatewayWorkspace, IdleConnections, JobApiResult, JobItem,
-    JobItemResult, JobRefusal, JobResultPage, JobSubmission, LoadReport, LoadUpdate,
-    OperatorRecord, OversizedEvent, PlacementOutcome, PooledBody, PooledResponse, PromptPart,
-    QuotaLedger, QuotaState, RefusalReason, ReportFrame, ReportInterest, ReportedLoad,
+    BatchPolicy, BatchPreemption, BodyBudget, BodyReceiver, CallerLimits, ConnectionPool,
+    EventSplitter, ForwardResponse, ForwardRoute, ForwardedRequest, Gateway, GatewayConfig,
+    GatewayMetrics, GatewayRefusal, GatewaySettings, GatewayWorkspace, IdleConnections,
+    JobApiResult, JobItem, JobItemResult, JobRefusal, JobResultPage, JobSubmission, LoadReport,
+    LoadUpdate, OperatorRecord, OversizedEvent, PlacementOutcome, PooledBody, PooledResponse,
+    PromptPart, QuotaLedger, QuotaState, RefusalReason, ReportFrame, ReportInterest, ReportedLoad,
     RequestDispatcher, RequestId, ResponseBody, ResponseMeaning, RouteBackend, RouteCatalog,
     RouteClass, RouteMiss, RowDecoder, SendError, ServiceProfile, ServingTarget, SlotNeed,
     SlotOutcome, SlotRefusal, SlotWaiter, SpentQuota, StreamEvent, TargetAttempt, TargetBodyStream,
