Placement: a request that all targets have failed is refused at once

Targets that were full for a moment were never tried again.

Cause: failed and full targets are excluded for as long as an attempt lasts, and the wait queue only asked whether the service has targets, not whether any is left for the request.

Change: a request without a target left is refused when it is queued, and when its last target leaves.

Evidence: request_that_all_targets_failed_is_refused_at_once (online and batch) and request_refused_by_full_targets_runs_once_they_have_room fail before: by the first, the request waits; in the second, one of three targets at most is tried again.

--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/dispatcher.rs
@@ -220,6 +220,15 @@
         })
     }
 
+    /// Returns whether a request could run at any target in service that has not failed it yet.
+    fn has_candidate(&self, need: &SlotNeed) -> bool {
+        self.targets.iter().any(|(id, slots)| {
+            slots.target.service == need.service
+                && slots.is_in_service(&self.out_of_service)
+                && !need.excluded.contains(id)
+        })
+    }
+
     /// Acquires a slot, or queues the request, or refuses it.
     pub fn request(&mut self, now: Duration, need: SlotNeed) -> PlacementOutcome {
         // Removed from the map so that the queue and the targets can be borrowed mutably together.
@@ -247,7 +256,7 @@
         let vms = self.live_vm_count() + 1;
         let expected = queue.expected_wait(ahead + waiting_elsewhere, vms).unwrap_or_default();
         let would_time_out = need.class == RequestClass::Online && now + expected > need.place_by;
-        if !has_targets || would_time_out {
+        if would_time_out || !self.has_candidate(&need) {
             let retry_after = queue.retry_after(waiting_elsewhere, vms);
             return PlacementOutcome::Refused(SlotRefusal { retry_after, has_targets });
         }
@@ -272,7 +281,9 @@
             let retry_after =
                 queue.retry_after(self.fleet.waiting(&service) as usize, self.live_vm_count() + 1);
             let refusal = SlotRefusal { retry_after, has_targets: self.has_targets(&service) };
-            decided.extend(queue.refuse_expired(now, refusal));
+            let is_hopeless =
+                |need: &SlotNeed| !need.excluded.is_empty() && !self.has_candidate(need);
+            decided.extend(queue.refuse_expired(now, refusal, is_hopeless));
             self.queues.insert(service, queue);
         }
         decided
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -297,7 +297,10 @@
             history.runs -= 1;
             history.not_run += 1;
         }
-        history.excluded.push(lease.target().clone());
+        // A full target may have room again after its backoff.
+        if usage != SlotOutcome::Full {
+            history.excluded.push(lease.target().clone());
+        }
         lease.release(usage);
     }
 
--- a/crates/ebonydock/src/gateway/tests/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/tests/dispatcher.rs
@@ -299,6 +299,32 @@
     fleet.assert_capacity_is_kept();
 }
 
+/// When all targets have failed a request, waiting for its deadline would not bring another one.
+#[parameterized(
+    online_request = { RequestClass::Online },
+    batch_item = { RequestClass::Batch },
+)]
+fn request_that_all_targets_failed_is_refused_at_once(class: RequestClass) {
+    let mut dispatcher = dispatcher_with(vec![target("t", "a"), target("u", "b")]);
+    let failed = SlotNeed {
+        excluded: vec![TargetId::from("t"), TargetId::from("u")],
+        place_by: ms(60_000),
+        ..need(class, 0)
+    };
+    let outcome = dispatcher.request(ms(0), failed);
+    assert!(matches!(outcome, PlacementOutcome::Refused(_)), "{outcome:?}");
+    // The last target that has not failed the request leaves while it waits.
+    for _ in 0..2 * SLOTS {
+        placed(dispatcher.request(ms(0), online(0)));
+    }
+    let failed_once =
+        SlotNeed { excluded: vec![TargetId::from("t")], place_by: ms(60_000), ..need(class, 0) };
+    let waiter = waiting(dispatcher.request(ms(1), failed_once));
+    dispatcher.set_targets(ms(2), vec![target("t", "a")]);
+    let decided = dispatcher.advance(ms(3));
+    assert!(matches!(&decided[..], [(decided, _, Err(_))] if *decided == waiter), "{decided:?}");
+}
+
 #[test]
 fn online_goes_before_batch_in_order() {
     let mut dispatcher = dispatcher_with(vec![target("t", "a")]);
--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -108,6 +108,20 @@
     });
 }
 
+/// All targets are full for a moment.
+#[test]
+fn request_refused_by_full_targets_runs_once_they_have_room() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, before| match before {
+            0..4 => TargetBehavior::NotRun,
+            _ => TargetBehavior::Whole(200, "whole"),
+        }));
+        let gateway = site.gateway("vm1").await;
+        let response = gateway.forward(request("r1", "/notice/1")).await;
+        assert_eq!(read(response).await, ("whole".to_owned(), true));
+    });
+}
+
 #[test]
 fn request_run_by_no_target_is_refused_as_not_run() {
     run(async {
--- a/crates/ebonydock/src/gateway/wait_queue.rs
+++ b/crates/ebonydock/src/gateway/wait_queue.rs
@@ -132,13 +132,15 @@
         decided
     }
 
-    /// Removes the requests past their deadline, or all if the service has no target.
+    /// Removes the requests past their deadline and those that no target is left for.
     pub(crate) fn refuse_expired(
         &mut self,
         now: Duration,
         refusal: SlotRefusal,
+        is_hopeless: impl Fn(&SlotNeed) -> bool,
     ) -> Vec<DecidedWaiter> {
-        let is_expired = |need: &SlotNeed| now >= need.place_by || !refusal.has_targets;
+        let is_expired =
+            |need: &SlotNeed| now >= need.place_by || !refusal.has_targets || is_hopeless(need);
         let expired = self.waiters.extract_if(.., |_, need| is_expired(need));
         expired.map(|(key, need)| (SlotWaiter(key.3), need.class, Err(refusal))).collect()
     }
