Jobs: failures of an item are counted over leaders

Cause: a checkpoint wrote the items whose last event had changed. An item that fails before its first event has none, so its failures were never written, and each leader after a loss or a failed hand-over began at zero.

Change: a checkpoint writes items whose last event or number of failures has changed. A new leader compares with what it read, so it does not write unchanged outputs again.

Evidence: failures_of_item_are_counted_over_leaders fails before (4 attempts of 3).

--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -16,7 +16,7 @@
 use crate::gateway::forward::{AdmittedRequest, AttemptHistory, RunningAttempt};
 use crate::gateway::job_records::{
     JOB_TABLE, JobEntry, JobItem, JobItemResult, JobName, PARTIAL_TABLE, PartialOutput,
-    RESULT_TABLE, decode, encode, write_chunks,
+    RESULT_TABLE, SavedProgress, decode, encode, write_chunks,
 };
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
@@ -118,7 +118,8 @@
         }
         drop(outcomes);
         let mut uncommitted = Vec::new();
-        let mut saved = vec![None; self.items.len()];
+        let mut saved: Vec<SavedProgress> =
+            self.partials.borrow().iter().map(PartialOutput::progress).collect();
         let mut checkpoints = tokio::time::interval(CHECKPOINT_INTERVAL);
         loop {
             let outcome = tokio::select! {
@@ -145,7 +146,7 @@
 
     /// Writes a checkpoint of the items that made progress since the last one. A checkpoint only saves
     /// work, so a failed write is not retried.
-    async fn save_partials(&self, saved: &mut [Option<u64>]) {
+    async fn save_partials(&self, saved: &mut [SavedProgress]) {
         let mut transaction = RowTransaction::in_partition(&self.job.partition()).expect(
             JOB_TABLE,
             &self.job.head_key(),
@@ -154,7 +155,7 @@
         let mut bytes = 0;
         let mut written = Vec::new();
         for (index, partial) in self.partials.borrow().iter().enumerate() {
-            if partial.last_event == saved[index] {
+            if partial.progress() == saved[index] {
                 continue;
             }
             bytes += partial.text.len();
@@ -164,15 +165,15 @@
             }
             let value = encode(partial);
             transaction = write_chunks(transaction, PARTIAL_TABLE, &self.job, index, &value);
-            written.push((index, partial.last_event));
+            written.push((index, partial.progress()));
         }
         if written.is_empty() {
             return;
         }
         match self.core.rows.transact(&transaction).await {
             Ok(_) => {
-                for (index, last_event) in written {
-                    saved[index] = last_event;
+                for (index, progress) in written {
+                    saved[index] = progress;
                 }
             }
             Err(error) => {
--- a/crates/ebonydock/src/gateway/job_records.rs
+++ b/crates/ebonydock/src/gateway/job_records.rs
@@ -118,6 +118,17 @@
     pub(crate) failures: u32,
 }
 
+/// Last event and failures of a partial output, by which a leader tells whether it changed since its last
+/// checkpoint.
+pub(crate) type SavedProgress = (Option<u64>, u32);
+
+impl PartialOutput {
+    /// Returns the progress that a checkpoint saves.
+    pub(crate) fn progress(&self) -> SavedProgress {
+        (self.last_event, self.failures)
+    }
+}
+
 /// Key prefix of a job's rows.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) struct JobName(String);
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -1,5 +1,7 @@
 //! Tests of batch jobs with failing targets, a failing store and lost VMs.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use yare::parameterized;
@@ -374,6 +376,34 @@
     });
 }
 
+/// A leader is lost after an item failed once; the next one must count that failure.
+#[test]
+fn failures_of_item_are_counted_over_leaders() {
+    run(async {
+        let attempts = Rc::new(Cell::new(0));
+        let counter = Rc::clone(&attempts);
+        let site = FakeSite::open(FakeTargets::open(move |attempt, _| {
+            if attempt.path != "/night/3" {
+                return TargetBehavior::Events(3, true);
+            }
+            counter.set(counter.get() + 1);
+            if counter.get() == 2 {
+                TargetBehavior::Hangs
+            } else {
+                TargetBehavior::Whole(500, "no")
+            }
+        }));
+        let first = site.gateway("vm1").await;
+        first.submit_job(submission("j1")).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        assert_eq!(attempts.get(), 2);
+        let second = site.gateway("vm1").await;
+        let results = all_results(&second, "j1").await;
+        assert_eq!(results.iter().filter(|result| !result.completed).count(), 1);
+        assert_eq!(attempts.get(), 3, "an item may fail twice; the second attempt was lost");
+    });
+}
+
 #[test]
 fn unresponsive_target_only_delays_items() {
     run(async {
