Placement: an open connection decides between targets that are equally full

The higher penalty for other data centres had the same effect.

Change: the bonus is below one slot, for local targets only, and the penalty is 0.15 as before.

--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/dispatcher.rs
@@ -22,11 +22,12 @@
 
 /// Added to the utilization of targets in other data centres. Traffic between data centres costs more
 /// than a slightly fuller batch on the target.
-const REMOTE_PENALTY: f64 = 0.25;
-/// Subtracted from the utilization of targets to which the VM has an idle connection. Opening one costs a round
-/// trip, and targets accept a limited number. In a large fleet each VM sends few requests, which find an open
-/// connection only if they go to the same few targets.
-const CONNECTION_BONUS: f64 = 0.20;
+const REMOTE_PENALTY: f64 = 0.15;
+/// Subtracted from the utilization of local targets to which the VM has an idle connection. Opening one costs a
+/// round trip, and targets accept a limited number. In a large fleet each VM sends few requests, which find an
+/// open connection only if they go to the same few targets. Smaller than one slot's fraction of a target,
+/// because a fuller batch slows a request down by more than a new connection does.
+const CONNECTION_BONUS: f64 = 0.10;
 /// Subtracted from the utilization of the target that last processed the same prompt prefix.
 const PREFIX_BONUS: f64 = 0.10;
 /// Prompt prefixes whose last target is stored.
@@ -340,16 +341,18 @@
                 score -= PREFIX_BONUS;
             }
             let is_local = slots.target.data_centre == self.data_centre;
+            let has_idle = self.connections.has_idle(slots.target.address);
+            let candidates = match (is_local, has_idle) {
+                (_, true) => &mut connected,
+                (true, false) => &mut local,
+                (false, false) => &mut remote,
+            };
             if !is_local {
                 score += REMOTE_PENALTY;
+            } else if has_idle {
+                score -= CONNECTION_BONUS;
             }
-            if self.connections.has_idle(slots.target.address) {
-                connected.push((score - CONNECTION_BONUS, id));
-            } else if is_local {
-                local.push((score, id));
-            } else {
-                remote.push((score, id));
-            }
+            candidates.push((score, id));
         }
         let sampled = sample(&mut local, unreported).iter().chain(sample(&mut remote, unreported));
         let sampled = sampled.chain(&connected);
