Jobs: an item whose response is lost on an open connection is sent again

A target ran it and its answer was lost, while the connection stayed open.

Cause: the head of a response to an online request is awaited until the caller's deadline; an item has no caller, and its response was awaited without limit. The item held its slot and was never sent again.

Change: the response to an item has to begin within 4 s. The wait for a slot is not counted.

The existing test unresponsive_target_only_delays_items had targets that fail, not ones that stay silent.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -28,6 +28,9 @@
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
 /// Limit for attempts that did not run, which do not count against the route's own limit.
 const MAX_NOT_RUN_ATTEMPTS: usize = 6;
+/// Time until the response to a batch item must begin. Items have no caller that would give up on a target
+/// that accepts requests and does not answer them.
+const ITEM_RESPONSE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Fraction of the latency objective that a request may wait for a target. The rest is left for the
 /// target to produce the first event and for the transfer to the caller.
 const MAX_WAIT_FRACTION: f64 = 0.7;
@@ -261,7 +264,16 @@
             // Counted before sending, because a request whose future is dropped meanwhile may have run.
             history.runs += 1;
             let sent_at = monotonic();
-            let outcome = self.transport.send(attempt).await;
+            let response = self.transport.send(attempt);
+            let outcome = match admitted.class {
+                // Online requests end at the caller's deadline.
+                RequestClass::Online => response.await,
+                RequestClass::Batch => {
+                    let response = tokio::time::timeout(ITEM_RESPONSE_TIMEOUT, response).await;
+                    let lost = || Err(SendError::Lost("no response from the target".to_owned()));
+                    response.unwrap_or_else(|_| lost())
+                }
+            };
             self.log_attempt(admitted, &target, history, sent_at, &outcome);
             match outcome {
                 Ok(response) if response.meaning == ResponseMeaning::Ran => {
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -19,7 +19,7 @@
 /// Interval of reports of unchanged load; several fit into the lifetime of a report.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum payload of a datagram; with headers it fits into a packet of the usual size.
-const MAX_DATAGRAM_BYTES: usize = 1000;
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 1000;
 /// Maximum encoded size of a report's frame without its VM and content.
 const FRAME_BYTES: usize = 26;
 
@@ -35,6 +35,11 @@
         || report.quotas.iter().any(|spent| !is_known(spent))
 }
 
+/// Returns the interval between reports in a fleet of this size.
+pub(crate) fn report_interval(members: usize) -> Duration {
+    REPORT_INTERVAL.max(INTERVAL_PER_MEMBER * members as u32)
+}
+
 /// Splits reports into lists that each fit into a datagram.
 fn pack_datagrams(reports: &[EncodedReport]) -> Vec<Vec<ReportFrame<'_>>> {
     let mut datagrams: Vec<Vec<ReportFrame<'_>>> = Vec::new();
@@ -78,7 +83,7 @@
     }
 
     fn report_interval(&self) -> Duration {
-        REPORT_INTERVAL.max(INTERVAL_PER_MEMBER * self.peering.member_count() as u32)
+        report_interval(self.peering.member_count())
     }
 
     /// Returns the mean age of the reports of other VMs: half an interval per hop, and the network delay.
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -404,6 +404,21 @@
     });
 }
 
+/// A target runs an item and its response is lost, while the connection stays open.
+#[test]
+fn item_without_response_is_sent_again() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, before| {
+            if before < 2 { TargetBehavior::Hangs } else { TargetBehavior::Events(3, true) }
+        }));
+        let gateway = site.gateway("vm1").await;
+        gateway.submit_job(submission("j1")).await.unwrap();
+        let results = tokio::time::timeout(Duration::from_secs(8), all_results(&gateway, "j1"));
+        let results = results.await.expect("an item is left lying");
+        assert!(results.iter().all(|result| result.completed), "{results:?}");
+    });
+}
+
 #[test]
 fn unresponsive_target_only_delays_items() {
     run(async {
--- a/crates/ebonydock/src/gateway/tests/reports.rs
+++ b/crates/ebonydock/src/gateway/tests/reports.rs
@@ -4,11 +4,16 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 use crate::gateway::fleet_load::{FleetLoad, ReportedUse};
-use crate::gateway::load::{EncodedReport, LoadReport, ReportedLoad, ReportedWait, service_hash};
+use crate::gateway::load::{
+    EncodedReport, LoadReport, ReportedLoad, ReportedWait, SpentQuota, service_hash,
+};
+use crate::gateway::report_exchange::{MAX_DATAGRAM_BYTES, report_interval};
 use crate::gateway::report_routes::{ReportInterest, ReportMember, ReportRoutes};
-use crate::ids::{DataCentreId, ServiceName, VmId};
+use crate::ids::{DataCentreId, ServiceName, VmId, WorkspaceId};
 
 const TICK: Duration = Duration::from_millis(50);
 /// Long enough for relays to time out, reports to expire and an exchange to complete.
@@ -298,3 +303,118 @@
         }
     }
 }
+
+/// Bytes for QUIC, UDP and the acknowledgement of a datagram.
+const DATAGRAM_OVERHEAD_BYTES: usize = 110;
+/// Requests per second and VM, and the slots that each VM uses on average.
+const REQUESTS_PER_VM: f64 = 2.4;
+const SLOTS_PER_VM: usize = 2;
+
+/// Bytes per second sent and received by a VM.
+#[derive(Clone, Copy, Debug, Default)]
+struct VmTraffic {
+    sent: f64,
+    received: f64,
+}
+
+/// Plays the exchange of a fleet under load for some intervals and counts the bytes of every VM.
+fn measure_traffic(vms: usize, data_centres: usize) -> BTreeMap<VmId, (VmTraffic, bool)> {
+    let members = members(vms, data_centres);
+    let mut fleet = ReportFleet::open(&members);
+    fleet.settle(1);
+    let interval = report_interval(vms);
+    // Starts, ends and the quotas spent are reported at the next interval.
+    let changes = 1.0 - (-2.0 * REQUESTS_PER_VM * interval.as_secs_f64()).exp();
+    let mut random = StdRng::seed_from_u64(1);
+    let mut bytes: BTreeMap<VmId, (usize, usize)> = BTreeMap::new();
+    let intervals = 60;
+    let size = |reports: &[EncodedReport]| {
+        let content: usize =
+            reports.iter().map(|report| postcard::to_stdvec(&report.frame()).unwrap().len()).sum();
+        let datagrams = content.div_ceil(MAX_DATAGRAM_BYTES);
+        content + datagrams * DATAGRAM_OVERHEAD_BYTES
+    };
+    let names: Vec<VmId> = members.iter().map(|member| member.vm.clone()).collect();
+    for number in 0..intervals {
+        fleet.now += interval;
+        let mut sent: Vec<(VmId, VmId, ReportInterest, Vec<EncodedReport>)> = Vec::new();
+        for vm in &names {
+            if random.random::<f64>() >= changes {
+                continue;
+            }
+            let load = |_| ReportedLoad { target: random.random(), online: 1, batch: 0 };
+            let targets = (0..SLOTS_PER_VM).map(load).collect();
+            let spent = |number: usize| SpentQuota {
+                workspace: WorkspaceId::from(format!("abcd{number:03}")),
+                requests: 300,
+                age_ms: 20_000,
+            };
+            let report = LoadReport {
+                incarnation: u64::MAX >> 1,
+                sequence: 1000 + number,
+                targets,
+                quotas: (0..SLOTS_PER_VM).map(spent).collect(),
+                ..LoadReport::default()
+            };
+            let report = EncodedReport::encode(vm, &report);
+            let Some(routes) = fleet.routes.get_mut(vm) else { continue };
+            routes.add(fleet.now, report.clone(), true);
+            for (to, interest) in routes.receivers(fleet.now) {
+                sent.push((vm.clone(), to, interest, vec![report.clone()]));
+            }
+        }
+        // Relays forward what arrived in the interval before.
+        for vm in &names {
+            let Some(routes) = fleet.routes.get_mut(vm) else { continue };
+            let pending = routes.take_pending();
+            for (to, interest) in routes.subscribers(fleet.now) {
+                let all = interest == ReportInterest::All;
+                let reports = if all { &pending.all } else { &pending.group };
+                if !reports.is_empty() {
+                    sent.push((vm.clone(), to.clone(), ReportInterest::Nothing, reports.clone()));
+                }
+            }
+        }
+        for (from, to, interest, reports) in sent {
+            let size = size(&reports);
+            bytes.entry(from.clone()).or_default().0 += size;
+            bytes.entry(to.clone()).or_default().1 += size;
+            fleet.deliver(&from, &to, interest, &reports);
+        }
+    }
+    let seconds = interval.as_secs_f64() * intervals as f64;
+    let traffic = bytes.into_iter().map(|(vm, (sent, received))| {
+        let is_relay = fleet.routes[&vm].has_subscribers(fleet.now);
+        let per_second = |bytes: usize| bytes as f64 / seconds;
+        let traffic = VmTraffic { sent: per_second(sent), received: per_second(received) };
+        (vm, (traffic, is_relay))
+    });
+    traffic.collect()
+}
+
+/// KB per second: a VM that is no relay at the median, and the relay that sends most.
+#[test]
+fn report_traffic_by_fleet_size() {
+    let describe = |vms: usize| {
+        let traffic = measure_traffic(vms, 5);
+        let mut members: Vec<VmTraffic> = traffic
+            .values()
+            .filter(|(_, is_relay)| !is_relay)
+            .map(|(traffic, _)| *traffic)
+            .collect();
+        members.sort_by(|a, b| a.received.total_cmp(&b.received));
+        let member = members.get(members.len() / 2).copied().unwrap_or_default();
+        let relays = traffic.values().filter(|(_, is_relay)| *is_relay);
+        let relay = relays.map(|(traffic, _)| *traffic).max_by(|a, b| a.sent.total_cmp(&b.sent));
+        let relay = relay.unwrap_or_default();
+        let kb = |bytes: f64| (bytes / 1000.0).round();
+        format!(
+            "{vms} VMs: member sends {} and receives {}, relay sends {} and receives {}",
+            kb(member.sent),
+            kb(member.received),
+            kb(relay.sent),
+            kb(relay.received)
+        )
+    };
+    insta::assert_debug_snapshot!([12, 85, 195].map(describe));
+}
