--- a/crates/ebonydock/src/gateway/tests/reports.rs
+++ b/crates/ebonydock/src/gateway/tests/reports.rs
@@ -344,7 +344,7 @@
             }
             let load = |_| ReportedLoad { target: random.random(), online: 1, batch: 0 };
             let targets = (0..SLOTS_PER_VM).map(load).collect();
-            let spent = |number: usize| SpentQuota {
+            let quota = |number: usize| SpentQuota {
                 workspace: WorkspaceId::from(format!("abcd{number:03}")),
                 requests: 300,
                 age_ms: 20_000,
@@ -353,7 +353,7 @@
                 incarnation: u64::MAX >> 1,
                 sequence: 1000 + number,
                 targets,
-                quotas: (0..SLOTS_PER_VM).map(spent).collect(),
+                quotas: (0..SLOTS_PER_VM).map(quota).collect(),
                 ..LoadReport::default()
             };
             let report = EncodedReport::encode(vm, &report);
