Gateway: the step after a chunk that could not be forwarded, and names, after a read-through

forward_events returned a result within a result; it returns the next step of the stream now. What no target is left for is called unplaceable. No change of behaviour; the tests of streams and of the dispatcher pass.

--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/dispatcher.rs
@@ -282,9 +282,9 @@
             let retry_after =
                 queue.retry_after(self.fleet.waiting(&service) as usize, self.live_vm_count() + 1);
             let refusal = SlotRefusal { retry_after, has_targets: self.has_targets(&service) };
-            let is_hopeless =
+            let is_unplaceable =
                 |need: &SlotNeed| !need.excluded.is_empty() && !self.has_candidate(need);
-            decided.extend(queue.refuse_expired(now, refusal, is_hopeless));
+            decided.extend(queue.refuse_expired(now, refusal, is_unplaceable));
             self.queues.insert(service, queue);
         }
         decided
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -534,21 +534,12 @@
         let mut next = StreamStep::Chunk(Some(Ok(first)));
         loop {
             match next {
-                StreamStep::Chunk(Some(Ok(bytes))) => match self.forward_events(&bytes).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(QueueError::CallerLeft)) => {
-                        next = StreamStep::CallerLeft;
+                StreamStep::Chunk(Some(Ok(bytes))) => {
+                    if let Err(step) = self.forward_events(&bytes).await {
+                        next = step;
                         continue;
                     }
-                    Ok(Err(QueueError::DeadlinePassed)) => {
-                        next = StreamStep::DeadlinePassed;
-                        continue;
-                    }
-                    Err(error) => {
-                        next = StreamStep::Chunk(Some(Err(SendError::Lost(error.to_string()))));
-                        continue;
-                    }
-                },
+                }
                 StreamStep::Chunk(None) => {
                     self.release(attempt.lease, SlotOutcome::Responded, "complete");
                     // Bytes after the last complete event.
@@ -589,18 +580,24 @@
     }
 
     /// Forwards complete events. A caller that doesn't read them occupies the target until its deadline.
-    async fn forward_events(
-        &mut self,
-        bytes: &[u8],
-    ) -> Result<Result<(), QueueError>, OversizedEvent> {
+    ///
+    /// # Errors
+    ///
+    /// Returns the next step if the stream can't go on.
+    async fn forward_events(&mut self, bytes: &[u8]) -> Result<(), StreamStep> {
         self.splitter.push(bytes);
-        while let Some(event) = self.splitter.next_event()? {
-            if let Err(error) = self.chunks.send(event.raw, self.admitted.time_left()).await {
-                return Ok(Err(error));
-            }
+        let broken = |error: OversizedEvent| {
+            StreamStep::Chunk(Some(Err(SendError::Lost(error.to_string()))))
+        };
+        while let Some(event) = self.splitter.next_event().map_err(broken)? {
+            let queued = self.chunks.send(event.raw, self.admitted.time_left()).await;
+            queued.map_err(|error| match error {
+                QueueError::CallerLeft => StreamStep::CallerLeft,
+                QueueError::DeadlinePassed => StreamStep::DeadlinePassed,
+            })?;
             self.last_event = event.id.or(self.last_event);
         }
-        Ok(Ok(()))
+        Ok(())
     }
 
     /// Continues the response at another target, after the last event that the caller received.
--- a/crates/ebonydock/src/gateway/wait_queue.rs
+++ b/crates/ebonydock/src/gateway/wait_queue.rs
@@ -137,10 +137,10 @@
         &mut self,
         now: Duration,
         refusal: SlotRefusal,
-        is_hopeless: impl Fn(&SlotNeed) -> bool,
+        is_unplaceable: impl Fn(&SlotNeed) -> bool,
     ) -> Vec<DecidedWaiter> {
         let is_expired =
-            |need: &SlotNeed| now >= need.place_by || !refusal.has_targets || is_hopeless(need);
+            |need: &SlotNeed| now >= need.place_by || !refusal.has_targets || is_unplaceable(need);
         let expired = self.waiters.extract_if(.., |_, need| is_expired(need));
         expired.map(|(key, need)| (SlotWaiter(key.3), need.class, Err(refusal))).collect()
     }
