Jobs: an item does not try a full target again within one attempt

Cause: since full targets are no longer excluded, an item tried them again after 20 ms. An online request ends after six refusals; an item begins a new attempt.

Change: full targets are excluded for items again, as before. For online requests they are not.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -309,8 +309,9 @@
             history.runs -= 1;
             history.not_run += 1;
         }
-        // A full target may have room again after its backoff.
-        if usage != SlotOutcome::Full {
+        // For a caller that waits, a full target may have room again after its backoff.
+        let may_try_again = usage == SlotOutcome::Full && lease.class() == RequestClass::Online;
+        if !may_try_again {
             history.excluded.push(lease.target().clone());
         }
         lease.release(usage);
--- a/crates/ebonydock/src/gateway/leases.rs
+++ b/crates/ebonydock/src/gateway/leases.rs
@@ -55,6 +55,10 @@
         &self.target
     }
 
+    pub(crate) fn class(&self) -> RequestClass {
+        self.class
+    }
+
     /// Registers a batch item's slot as preemptible.
     fn register_preemptible(mut self, need: &SlotNeed) -> Self {
         if self.class == RequestClass::Batch {
