Logs: prompt parts of attempts, and whether a broken-off answer had begun

The lines of a crash could not be linked to those of others: they named neither the prompt nor whether the caller had received an event. Attempts name their shared prompt parts, and answers that break off before their first event are counted by themselves. No decision changes.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -332,7 +332,7 @@
                     .map_or("the stream ended before its first event".to_owned(), |chunk| {
                         chunk.map_or_else(|error| error.to_string(), |_| String::new())
                     });
-                self.log_interruption(admitted, &attempt, &reason);
+                self.log_interruption(admitted, &attempt, None, &reason);
                 history.excluded.push(attempt.lease.target().clone());
                 attempt.lease.release(SlotOutcome::Failed);
                 return check_retry(admitted, history).map(|()| None);
@@ -370,7 +370,7 @@
                 Some(Ok(chunk)) => buffer.extend_from_slice(&chunk),
                 None => break ResponseBody::Whole(buffer.freeze()),
                 Some(Err(error)) => {
-                    self.log_interruption(admitted, &attempt, &error.to_string());
+                    self.log_interruption(admitted, &attempt, None, &error.to_string());
                     history.excluded.push(attempt.lease.target().clone());
                     attempt.lease.release(SlotOutcome::Failed);
                     return check_retry(admitted, history).map(|()| None);
@@ -548,7 +548,8 @@
                     return self.chunks.finish((!rest.is_empty()).then_some(rest)).await;
                 }
                 StreamStep::Chunk(Some(Err(error))) => {
-                    self.core.log_interruption(&self.admitted, &attempt, &error.to_string());
+                    let reason = error.to_string();
+                    self.core.log_interruption(&self.admitted, &attempt, self.last_event, &reason);
                     self.history.excluded.push(attempt.lease.target().clone());
                     let RunningAttempt { response, lease } = attempt;
                     // Closes the connection, which may still bring bytes.
--- a/crates/ebonydock/src/gateway/request.rs
+++ b/crates/ebonydock/src/gateway/request.rs
@@ -32,9 +32,14 @@
 }
 
 impl TokenDemand {
+    /// Returns the parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns an identifier of the parts that other requests may share, or `None` if there are none.
     pub fn shared_prefix(&self) -> Option<u64> {
-        let (_, shared) = self.parts.split_last()?;
+        let shared = self.shared_parts();
         let last = shared.last()?;
         Some(shared.iter().fold(last.id, |hash, part| hash.rotate_left(5) ^ part.id))
     }
--- a/crates/ebonydock/src/gateway/traces.rs
+++ b/crates/ebonydock/src/gateway/traces.rs
@@ -6,6 +6,7 @@
 use crate::gateway::connections::SendError;
 use crate::gateway::forward::{AdmittedRequest, AttemptHistory, RunningAttempt};
 use crate::gateway::quota::QuotaState;
+use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::runtime::GatewayCore;
 use crate::gateway::slots::ServingTarget;
 use crate::gateway::transport::TargetResponse;
@@ -16,6 +17,12 @@
     (value * 100.0).round() / 100.0
 }
 
+/// Formats the prompt parts that a request shares with others, in hexadecimal as callers send them.
+fn shared_parts(request: &ForwardedRequest) -> String {
+    let parts = request.demand.as_ref().map(TokenDemand::shared_parts).unwrap_or_default();
+    parts.iter().map(|part| format!("{:x}", part.id)).collect::<Vec<_>>().join(",")
+}
+
 /// Logs a request that is refused because its workspace's quota is spent.
 pub(crate) fn log_over_quota(id: &str, workspace: Option<&WorkspaceId>, quota: QuotaState) {
     log::info!(
@@ -44,6 +51,7 @@
         self.metrics.count("attempt", if status == 0 { "no_answer" } else { "answered" });
         log::info!(
             id = &*admitted.request.id, route = &*admitted.route.name,
+            shared_parts = shared_parts(&admitted.request),
             workspace = admitted.workspace.as_ref().map_or("", |workspace| workspace.as_str()),
             quota_level = admitted.quota.map_or(0.0, |quota| hundredths(quota.level)),
             target_id = target.id.as_str(), run = history.runs, unrun = history.not_run as u64,
@@ -55,15 +63,20 @@
         );
     }
 
+    /// Logs a response that ended early. `last_event` is the last event that the caller received; without
+    /// one the target may have ended because of this request.
     pub(crate) fn log_interruption(
         &self,
         admitted: &AdmittedRequest,
         attempt: &RunningAttempt,
+        last_event: Option<u64>,
         reason: &str,
     ) {
-        self.metrics.count("attempt", "broken_off");
+        let outcome = if last_event.is_some() { "broken_off" } else { "broken_off_before_event" };
+        self.metrics.count("attempt", outcome);
         log::info!(
-            id = &*admitted.request.id, target_id = attempt.lease.target().as_str(), reason = reason;
+            id = &*admitted.request.id, target_id = attempt.lease.target().as_str(), reason = reason,
+            shared_parts = shared_parts(&admitted.request), last_event = last_event.unwrap_or(0);
             "answer broke off"
         );
     }
