--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -248,6 +248,8 @@
     pub(super) target: String,
     pub(super) resume_after: Option<u64>,
     pub(super) path: String,
+    /// Ids of the prompt parts, the last one included.
+    pub(super) parts: Vec<u64>,
 }
 
 type TargetScript = Box<dyn Fn(&SeenAttempt, usize) -> TargetBehavior>;
@@ -305,6 +307,13 @@
             target: attempt.target.id.to_string(),
             resume_after: attempt.resume_after,
             path: attempt.request.path.clone(),
+            parts: attempt
+                .request
+                .demand
+                .iter()
+                .flat_map(|demand| &demand.parts)
+                .map(|part| part.id)
+                .collect(),
         };
         let before = self.seen.borrow().len();
         self.seen.borrow_mut().push(seen.clone());
