Quarantine prompt parts that crash targets

Callers saw their requests fail with 502 and targets out for three seconds, one after the other: each request with a certain prompt part ended the target that began to answer it, and the next VM placed the next such request as usual.

Cause: nothing outlived a request that failed. Failures were held against the target alone, and no VM knew the failures of the others.

VMs now report failures before the first event by their shared prompt parts, and answers on these parts. A part is quarantined if requests with it failed at three or more targets, none was answered since, and that is improbable given how often other requests fail at the same time. Parts that always came together are quarantined as one set: only requests with all of them are refused. A quarantine is reported to all VMs and stored as a row; the store permits single trials, and an answer lifts it. A request with a suspect part is not sent again.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -12,6 +12,7 @@
 use crate::gateway::connections::SendError;
 use crate::gateway::events::{EventSplitter, OversizedEvent};
 use crate::gateway::leases::SlotLease;
+use crate::gateway::prompt_guard::quarantine_refusal;
 use crate::gateway::quota::QuotaState;
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::response_body::{BodyReceiver, BodySender, QueueError, open_body};
@@ -77,6 +78,8 @@
     TimedOut,
     /// Targets failed; the request may have run.
     Failed,
+    /// The prompt contains parts that crash targets.
+    Quarantined,
 }
 
 impl RefusalReason {
@@ -97,6 +100,7 @@
             Self::NoTarget => "no_target",
             Self::TimedOut => "timed_out",
             Self::Failed => "failed",
+            Self::Quarantined => "quarantined",
         }
     }
 }
@@ -133,6 +137,8 @@
     pub(crate) order: Duration,
     /// When a batch item becomes critical.
     pub(crate) critical_at: Option<Duration>,
+    /// Whether the request has quarantined parts and is sent once to see whether they still crash targets.
+    pub(crate) is_trial: bool,
 }
 
 impl AdmittedRequest {
@@ -155,6 +161,8 @@
 pub(crate) struct RunningAttempt {
     pub(crate) response: TargetResponse,
     pub(crate) lease: SlotLease,
+    /// Hash of the target's incarnation.
+    pub(crate) incarnation: u32,
 }
 
 impl GatewayCore {
@@ -163,12 +171,15 @@
         self: &Rc<Self>,
         request: ForwardedRequest,
     ) -> Result<ForwardResponse, GatewayRefusal> {
-        let admitted = self.admit(request)?;
+        let mut admitted = self.admit(request)?;
         let workspace = admitted.workspace.clone();
         let time_left = admitted.time_left();
         let mut history = AttemptHistory::default();
-        let response =
-            tokio::time::timeout(time_left, self.run_attempts(admitted, &mut history)).await;
+        let attempts = async {
+            self.check_quarantine(&mut admitted).await?;
+            self.run_attempts(admitted, &mut history).await
+        };
+        let response = tokio::time::timeout(time_left, attempts).await;
         let response = response.unwrap_or_else(|_| {
             let reason =
                 if history.runs == 0 { RefusalReason::Busy } else { RefusalReason::TimedOut };
@@ -207,6 +218,7 @@
             ends_at: request.received_at + limit,
             order: request.received_at,
             critical_at: None,
+            is_trial: false,
             service,
             workspace,
             quota,
@@ -248,7 +260,11 @@
         resume_after: Option<u64>,
     ) -> Result<RunningAttempt, GatewayRefusal> {
         loop {
-            let lease = self.acquire(slot_need(admitted, history, place_by)).await;
+            let lease = tokio::select! {
+                biased;
+                () = self.quarantined(admitted) => return Err(quarantine_refusal(history)),
+                lease = self.acquire(slot_need(admitted, history, place_by)) => lease,
+            };
             let lease = lease.map_err(|refusal| refusal_for(admitted, history, refusal))?;
             let Some(target) = self.target(lease.target()) else {
                 lease.release(SlotOutcome::Misdirected);
@@ -275,9 +291,10 @@
                 }
             };
             self.log_attempt(admitted, &target, history, sent_at, &outcome);
+            let incarnation = target.incarnation_hash();
             match outcome {
                 Ok(response) if response.meaning == ResponseMeaning::Ran => {
-                    return Ok(RunningAttempt { response, lease });
+                    return Ok(RunningAttempt { response, lease, incarnation });
                 }
                 Ok(response) => Self::record_unusable_response(lease, &response, history),
                 Err(SendError::NotSent(_)) => {
@@ -287,11 +304,12 @@
                     lease.release(SlotOutcome::Failed);
                 }
                 Err(SendError::Lost(_)) => {
+                    self.record_prompt_failure(admitted, incarnation);
                     history.excluded.push(lease.target().clone());
                     lease.release(SlotOutcome::Failed);
                 }
             }
-            check_attempts(admitted, history)?;
+            self.check_attempts(admitted, history)?;
         }
     }
 
@@ -333,11 +351,13 @@
                         chunk.map_or_else(|error| error.to_string(), |_| String::new())
                     });
                 self.log_interruption(admitted, &attempt, None, &reason);
+                self.record_prompt_failure(admitted, attempt.incarnation);
                 history.excluded.push(attempt.lease.target().clone());
                 attempt.lease.release(SlotOutcome::Failed);
-                return check_retry(admitted, history).map(|()| None);
+                return self.check_retry(admitted, history).map(|()| None);
             }
         };
+        self.record_prompt_answer(admitted);
         self.metrics.count_first_event(admitted, monotonic());
         let (chunks, receiver) = open_body();
         let response = ForwardResponse {
@@ -353,6 +373,7 @@
             last_event: admitted.request.last_event,
             splitter: EventSplitter::default(),
             chunks,
+            has_answered: true,
         };
         tokio::task::spawn_local(forwarder.run(attempt, first));
         Ok(Some(response))
@@ -371,9 +392,12 @@
                 None => break ResponseBody::Whole(buffer.freeze()),
                 Some(Err(error)) => {
                     self.log_interruption(admitted, &attempt, None, &error.to_string());
+                    if buffer.is_empty() {
+                        self.record_prompt_failure(admitted, attempt.incarnation);
+                    }
                     history.excluded.push(attempt.lease.target().clone());
                     attempt.lease.release(SlotOutcome::Failed);
-                    return check_retry(admitted, history).map(|()| None);
+                    return self.check_retry(admitted, history).map(|()| None);
                 }
             }
             if buffer.len() > MAX_BUFFERED_RESPONSE_BYTES {
@@ -384,6 +408,9 @@
             }
         };
         let failed = attempt.response.status.is_server_error();
+        if attempt.response.status.is_success() {
+            self.record_prompt_answer(admitted);
+        }
         let (status, headers) = (attempt.response.status, attempt.response.headers);
         if failed {
             history.excluded.push(attempt.lease.target().clone());
@@ -409,7 +436,7 @@
         let running = self.count_running();
         tokio::task::spawn_local(async move {
             let _running = running;
-            let RunningAttempt { response, lease } = attempt;
+            let RunningAttempt { response, lease, .. } = attempt;
             let mut body = response.body;
             let time_left = || ends_at.saturating_sub(monotonic());
             let mut chunk = Some(Ok(first));
@@ -493,23 +520,45 @@
     GatewayRefusal { reason, retry_after: Some(retry_after) }
 }
 
-fn check_attempts(
+/// Refuses the request unless its route allows to send it again although it may have run.
+fn check_route_retry(
     admitted: &AdmittedRequest,
     history: &AttemptHistory,
 ) -> Result<(), GatewayRefusal> {
-    if history.not_run > MAX_NOT_RUN_ATTEMPTS {
-        let reason = if history.runs == 0 { RefusalReason::Busy } else { RefusalReason::Failed };
-        return Err(GatewayRefusal::of(reason));
+    let may_retry = admitted.route.class.may_retry() && !admitted.is_trial;
+    if may_retry && history.runs < admitted.route.max_attempts {
+        return Ok(());
     }
-    if history.runs > 0 { check_retry(admitted, history) } else { Ok(()) }
+    Err(GatewayRefusal::of(RefusalReason::Failed))
 }
 
-/// Refuses the request unless it may be sent again although it may have run.
-fn check_retry(admitted: &AdmittedRequest, history: &AttemptHistory) -> Result<(), GatewayRefusal> {
-    if admitted.route.class.may_retry() && history.runs < admitted.route.max_attempts {
-        return Ok(());
+impl GatewayCore {
+    fn check_attempts(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &AttemptHistory,
+    ) -> Result<(), GatewayRefusal> {
+        if history.not_run > MAX_NOT_RUN_ATTEMPTS {
+            let reason =
+                if history.runs == 0 { RefusalReason::Busy } else { RefusalReason::Failed };
+            return Err(GatewayRefusal::of(reason));
+        }
+        if history.runs > 0 { self.check_retry(admitted, history) } else { Ok(()) }
+    }
+
+    /// Refuses the request unless it may be sent again although it may have run. A request that may be the
+    /// cause of several crashes is not sent again.
+    fn check_retry(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &AttemptHistory,
+    ) -> Result<(), GatewayRefusal> {
+        check_route_retry(admitted, history)?;
+        if self.is_suspect(&admitted.request) {
+            return Err(GatewayRefusal::of(RefusalReason::Failed));
+        }
+        Ok(())
     }
-    Err(GatewayRefusal::of(RefusalReason::Failed))
 }
 
 /// Forwards the events of a stream and resumes it at another target when it breaks off.
@@ -521,6 +570,8 @@
     last_event: Option<u64>,
     splitter: EventSplitter,
     chunks: BodySender,
+    /// Whether the current attempt has sent an event.
+    has_answered: bool,
 }
 
 enum StreamStep {
@@ -551,7 +602,11 @@
                     let reason = error.to_string();
                     self.core.log_interruption(&self.admitted, &attempt, self.last_event, &reason);
                     self.history.excluded.push(attempt.lease.target().clone());
-                    let RunningAttempt { response, lease } = attempt;
+                    let RunningAttempt { response, lease, incarnation } = attempt;
+                    if !self.has_answered {
+                        self.core.record_prompt_failure(&self.admitted, incarnation);
+                    }
+                    self.has_answered = false;
                     // Closes the connection, which may still bring bytes.
                     drop(response);
                     lease.release(SlotOutcome::Failed);
@@ -598,6 +653,10 @@
                 QueueError::DeadlinePassed => StreamStep::DeadlinePassed,
             })?;
             self.last_event = event.id.or(self.last_event);
+            if !self.has_answered {
+                self.has_answered = true;
+                self.core.record_prompt_answer(&self.admitted);
+            }
         }
         Ok(())
     }
@@ -607,7 +666,7 @@
         self.splitter = EventSplitter::default();
         let core = Rc::clone(&self.core);
         loop {
-            check_retry(&self.admitted, &self.history).ok()?;
+            check_route_retry(&self.admitted, &self.history).ok()?;
             let ends_at = self.admitted.ends_at;
             let attempt = core.attempt(&self.admitted, &mut self.history, ends_at, self.last_event);
             let attempt = tokio::select! {
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -26,6 +26,8 @@
 
 /// Delay before retrying an item that got no target or whose attempt failed to start.
 const ITEM_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Interval at which an item checks whether its prompt may still crash targets.
+const QUARANTINE_POLL_INTERVAL: Duration = Duration::from_secs(1);
 /// Resumes an item on another target after no data for this long. A target with a full batch emits
 /// an event every few tens of milliseconds.
 const ITEM_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -300,13 +302,19 @@
             if monotonic() >= keep_until {
                 return ItemOutcome::GivenUp("kept_too_long");
             }
-            let Some(admitted) = self.admit(keep_until) else {
+            let Some(mut admitted) = self.admit(keep_until) else {
                 if self.core.catalog().is_some_and(|c| c.route_named(&self.head.route).is_none()) {
                     return ItemOutcome::GivenUp("route_removed");
                 }
                 tokio::time::sleep(ITEM_RETRY_DELAY).await;
                 continue;
             };
+            if self.core.check_quarantine(&mut admitted).await.is_err()
+                || self.core.is_suspect(&admitted.request)
+            {
+                tokio::time::sleep(QUARANTINE_POLL_INTERVAL).await;
+                continue;
+            }
             let max_failures = admitted.route.max_attempts;
             let last_event = self.with_partial(|partial| partial.last_event);
             let mut history = AttemptHistory::default();
@@ -317,7 +325,7 @@
             };
             let status = attempt.response.status;
             if status.is_success() && attempt.response.has_events {
-                match self.collect_output(attempt).await {
+                match self.collect_output(&admitted, attempt).await {
                     ItemRunEnd::Complete => {
                         // The partial output stays until the result is committed, so that a leader
                         // that stops before can hand it over.
@@ -403,12 +411,17 @@
             ends_at: keep_until,
             order,
             critical_at,
+            is_trial: false,
         })
     }
 
     /// Reads the events of an attempt and appends them to the partial output.
-    async fn collect_output(&self, attempt: RunningAttempt) -> ItemRunEnd {
-        let RunningAttempt { response, lease } = attempt;
+    async fn collect_output(
+        &self,
+        admitted: &AdmittedRequest,
+        attempt: RunningAttempt,
+    ) -> ItemRunEnd {
+        let RunningAttempt { response, lease, incarnation } = attempt;
         let mut body = response.body;
         let mut splitter = EventSplitter::default();
         let mut last_id = None;
@@ -416,6 +429,7 @@
             self.with_partial(|partial| (partial.text.len(), partial.last_event));
         let mut preemption = lease.watch_preemption();
         let started = (monotonic(), self.with_partial(|partial| partial.last_event.unwrap_or(0)));
+        let (mut has_answered, mut has_ended_early) = (false, false);
         let end = loop {
             let part = tokio::select! {
                 part = tokio::time::timeout(ITEM_IDLE_TIMEOUT, body.next()) => part,
@@ -432,14 +446,27 @@
                         });
                         break ItemRunEnd::Interrupted(reason);
                     }
+                    if !has_answered && last_id.is_some() {
+                        has_answered = true;
+                        self.core.record_prompt_answer(admitted);
+                    }
                 }
                 Ok(None) if splitter.take_rest().is_empty() => break ItemRunEnd::Complete,
-                Ok(None) => break ItemRunEnd::Interrupted("body ended within an event".to_owned()),
-                Ok(Some(Err(error))) => break ItemRunEnd::Interrupted(error.to_string()),
+                Ok(None) => {
+                    has_ended_early = true;
+                    break ItemRunEnd::Interrupted("body ended within an event".to_owned());
+                }
+                Ok(Some(Err(error))) => {
+                    has_ended_early = true;
+                    break ItemRunEnd::Interrupted(error.to_string());
+                }
                 Err(_) => break ItemRunEnd::Interrupted("no data from the target".to_owned()),
             }
         };
         drop(body);
+        if !has_answered && has_ended_early {
+            self.core.record_prompt_failure(admitted, incarnation);
+        }
         let last_event = self.with_partial(|partial| partial.last_event.unwrap_or(0));
         let took = monotonic().saturating_sub(started.0);
         let complete = matches!(end, ItemRunEnd::Complete);
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::gateway::quarantine::PartSet;
 use crate::gateway::report_routes::ReportInterest;
 use crate::ids::{ServiceName, TargetId, VmId, WorkspaceId};
 
@@ -40,6 +41,80 @@
     pub age_ms: u32,
 }
 
+/// Attempt that failed before its answer began.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptFailure {
+    /// Hash of the target's incarnation.
+    pub target: u32,
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Hash of the part of the prompt that belongs to the request alone.
+    pub subject: u32,
+    /// Parts of the prompt that other requests share.
+    pub parts: Vec<u64>,
+    /// Time since the failure in milliseconds.
+    pub age_ms: u16,
+}
+
+/// Answer that began on a request with a part of a failed prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartAnswer {
+    /// Part of the prompt.
+    pub part: u64,
+    /// Time since the answer began in milliseconds.
+    pub age_ms: u16,
+}
+
+/// Answers of one service that began at a VM in its current incarnation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerCount {
+    /// Hash of the service's name.
+    pub service: u32,
+    /// Number of answers.
+    pub answers: u32,
+}
+
+/// Change of a quarantine of prompt parts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportedQuarantine {
+    /// Requests that contain all of these parts are refused.
+    pub parts: PartSet,
+    /// Increases each time the parts are quarantined again.
+    pub revision: u32,
+    /// Whether the quarantine was lifted.
+    pub is_lifted: bool,
+}
+
+/// Requests of a VM that failed before their answers began, and what is known of their prompts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptReport {
+    /// Recent failures.
+    pub failures: Vec<PromptFailure>,
+    /// Recent answers on parts of failed prompts.
+    pub answered: Vec<PartAnswer>,
+    /// Answers by service, while there are failures.
+    pub counts: Vec<AnswerCount>,
+    /// Recent changes of quarantines.
+    pub quarantines: Vec<ReportedQuarantine>,
+}
+
+impl PromptReport {
+    /// Returns whether other VMs have to learn of this report before the next heartbeat.
+    pub(crate) fn has_news(&self, previous: Option<&Self>) -> bool {
+        let nothing = Self::default();
+        let previous = previous.unwrap_or(&nothing);
+        let is_new_failure = |failure: &PromptFailure| {
+            let mut known = previous.failures.iter();
+            !known.any(|known| known.target == failure.target && known.subject == failure.subject)
+        };
+        let is_new_answer =
+            |answer: &PartAnswer| !previous.answered.iter().any(|known| known.part == answer.part);
+        self.failures.iter().any(is_new_failure)
+            || self.answered.iter().any(is_new_answer)
+            || self.quarantines.iter().any(|changed| !previous.quarantines.contains(changed))
+    }
+}
+
 /// Load of one VM.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
@@ -56,6 +131,8 @@
     pub quotas: Vec<SpentQuota>,
     /// Waiting online requests by service; services without any are absent.
     pub waiting: Vec<ReportedWait>,
+    /// Failed requests and quarantines of prompt parts; `None` if there are none.
+    pub prompts: Option<Box<PromptReport>>,
 }
 
 /// Load report of one VM as sent. Every VM receives each report from two relays, so the content is decoded
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -38,6 +38,7 @@
     connections: Gauge,
     quota_subtracted: Gauge,
     quota_dropped: Gauge,
+    quarantines: Gauge,
     dropped_messages: Gauge,
 }
 
@@ -54,6 +55,7 @@
             connections: Gauge::default(),
             quota_subtracted: Gauge::default(),
             quota_dropped: Gauge::default(),
+            quarantines: Gauge::default(),
             dropped_messages: Gauge::default(),
         };
         let registry = &mut metrics.registry;
@@ -83,6 +85,11 @@
             "Requests of other VMs beyond the maximum debt of a quota",
             metrics.quota_dropped.clone(),
         );
+        registry.register(
+            "quarantines",
+            "Sets of prompt parts whose requests are refused",
+            metrics.quarantines.clone(),
+        );
         registry.register(
             "peer_messages_dropped",
             "Messages of other VMs that could not be decoded",
@@ -110,6 +117,7 @@
         self.connections.set(gauges.connections_opened as i64);
         self.quota_subtracted.set(gauges.quota_subtracted as i64);
         self.quota_dropped.set(gauges.quota_dropped as i64);
+        self.quarantines.set(gauges.quarantines as i64);
         self.dropped_messages.set(gauges.dropped_messages as i64);
     }
 
@@ -132,5 +140,6 @@
     pub(crate) connections_opened: u64,
     pub(crate) quota_subtracted: f64,
     pub(crate) quota_dropped: f64,
+    pub(crate) quarantines: usize,
     pub(crate) dropped_messages: u64,
 }
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -29,6 +29,9 @@
 mod logs;
 mod metrics;
 mod peering;
+mod prompt_failures;
+mod prompt_guard;
+mod quarantine;
 mod quota;
 mod report_exchange;
 mod report_routes;
@@ -57,9 +60,14 @@
 pub use handle::{Gateway, GatewaySettings};
 pub use job_api::{JobApiResult, JobRefusal, JobResultPage};
 pub use job_records::{JobItem, JobItemResult, JobSubmission};
-pub use load::{LoadReport, LoadUpdate, ReportFrame, ReportedLoad, SpentQuota};
+pub use load::{
+    AnswerCount, LoadReport, LoadUpdate, PartAnswer, PromptFailure, PromptReport, ReportFrame,
+    ReportedLoad, ReportedQuarantine, SpentQuota,
+};
 pub use logs::open_decision_log;
 pub use metrics::GatewayMetrics;
+pub use prompt_failures::{CrashVerdict, FailureLedger};
+pub use quarantine::{PartSet, QuarantineList};
 pub use quota::{QuotaLedger, QuotaState};
 pub use report_routes::ReportInterest;
 pub use request::{ForwardedRequest, PromptPart, RequestId, TokenDemand};
--- /dev/null
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -0,0 +1,319 @@
+//! Finds the prompt parts that crash targets.
+//!
+//! A target that ends takes all of its requests along, and one of them may be the cause. VMs report the
+//! requests that had not begun to be answered, by their shared prompt parts. A part is the likely cause if the
+//! requests that share it failed at several targets, none of them was answered since, and that is improbable
+//! given how often other requests fail at the same time.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use crate::gateway::load::{AnswerCount, PartAnswer, PromptFailure, PromptReport};
+use crate::gateway::quarantine::{PartSet, QuarantineList};
+use crate::ids::VmId;
+
+/// Period in which failures are compared.
+const EVIDENCE_LIFETIME: Duration = Duration::from_secs(30);
+/// Period in which a failure or an answer is repeated in reports, so that lost reports lose nothing.
+const REPORTING_TIME: Duration = Duration::from_secs(3);
+/// Minimum age of a failure that counts: by then VMs that answered the same parts have reported it.
+const SETTLING_TIME: Duration = Duration::from_millis(200);
+/// Minimum number of targets and of different requests that failed.
+const MIN_FAILURES: usize = 3;
+/// Number of targets from which a request with a part is not sent again after a failure.
+const MIN_SUSPECT_FAILURES: usize = 2;
+/// Period after a failure in which requests with the same parts are held back or not sent again.
+const SUSPICION_TIME: Duration = Duration::from_secs(2);
+/// Minimum odds, as a natural logarithm, against so many failures in a row by chance.
+const MIN_LOG_ODDS: f64 = 7.0;
+/// Limit for failures that are compared; older ones are dropped.
+const MAX_FAILURES: usize = 512;
+/// Limit for parts whose last answer is known.
+const MAX_ANSWERED_PARTS: usize = 8192;
+/// Limit for the parts of one prompt that are compared.
+const MAX_PROMPT_PARTS: usize = 16;
+/// Limits for one report, which has to fit into a datagram.
+const MAX_REPORTED_PARTS: usize = 32;
+const MAX_REPORTED_ANSWERS: usize = 12;
+/// Resolution of the counts of answers over time.
+const ANSWER_BUCKET: Duration = Duration::from_millis(100);
+
+/// A failed attempt of any VM.
+#[derive(Debug)]
+struct RecordedFailure {
+    failure: PromptFailure,
+    at: Duration,
+    is_local: bool,
+}
+
+/// Last answers on requests with a part.
+#[derive(Clone, Copy, Debug, Default)]
+struct PartAnswers {
+    /// By any VM.
+    newest: Option<Duration>,
+    /// By this VM.
+    local: Option<Duration>,
+    /// First answer of this VM after the last failure, which other VMs have to learn of.
+    cleared: Option<Duration>,
+}
+
+/// Answers of a service over time.
+#[derive(Debug, Default)]
+struct AnswerHistory {
+    buckets: VecDeque<(Duration, u32)>,
+}
+
+impl AnswerHistory {
+    fn add(&mut self, now: Duration, answers: u32) {
+        match self.buckets.back_mut() {
+            Some((began, count)) if now < *began + ANSWER_BUCKET => *count += answers,
+            _ => self.buckets.push_back((now, answers)),
+        }
+        while self.buckets.front().is_some_and(|(began, _)| *began + EVIDENCE_LIFETIME < now) {
+            self.buckets.pop_front();
+        }
+    }
+
+    fn since(&self, at: Duration) -> u32 {
+        let recent = self.buckets.iter().rev().take_while(|(began, _)| *began >= at);
+        recent.map(|(_, count)| count).sum()
+    }
+}
+
+/// Failures of the requests that share a part.
+#[derive(Clone, Debug, Default)]
+struct PartFailures {
+    /// Indexes into the settled failures.
+    failures: Vec<usize>,
+    targets: BTreeSet<u32>,
+    subjects: BTreeSet<u32>,
+    services: BTreeSet<u32>,
+    first_at: Duration,
+}
+
+/// Parts that crash targets, with the evidence.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CrashVerdict {
+    /// Parts that no failed request had without the others. At least one of them crashes targets.
+    pub parts: PartSet,
+    /// Number of targets at which requests with the parts failed.
+    pub targets: usize,
+    /// Failures of other requests since the first of them.
+    pub other_failures: usize,
+    /// Answers to other requests since the first of them.
+    pub answers: u32,
+    /// Odds against these failures by chance, as a natural logarithm.
+    pub log_odds: f64,
+}
+
+/// Failed attempts of all VMs at requests that had not begun to be answered.
+#[derive(Debug, Default)]
+pub struct FailureLedger {
+    failures: VecDeque<RecordedFailure>,
+    answered: FxHashMap<u64, PartAnswers>,
+    answers: FxHashMap<u32, AnswerHistory>,
+    /// Answers of this VM by service since its start.
+    local_counts: FxHashMap<u32, u32>,
+    /// Last reported counts of other VMs, with their incarnations.
+    peer_counts: HashMap<VmId, (u64, FxHashMap<u32, u32>)>,
+}
+
+impl FailureLedger {
+    /// Records that an attempt of this VM failed before its answer began.
+    pub fn record_failure(&mut self, now: Duration, failure: PromptFailure) {
+        self.insert(now, failure, true);
+    }
+
+    fn insert(&mut self, at: Duration, mut failure: PromptFailure, is_local: bool) {
+        failure.parts.truncate(MAX_PROMPT_PARTS);
+        let is_known = |known: &RecordedFailure| {
+            known.failure.target == failure.target && known.failure.subject == failure.subject
+        };
+        if failure.parts.is_empty() || self.failures.iter().any(is_known) {
+            return;
+        }
+        for part in &failure.parts {
+            let Some(answers) = self.answered.get_mut(part) else { continue };
+            answers.cleared = answers.local.filter(|local| *local > at);
+        }
+        if self.failures.len() >= MAX_FAILURES {
+            self.failures.pop_front();
+        }
+        self.failures.push_back(RecordedFailure { failure, at, is_local });
+    }
+
+    /// Records that a target began to answer a request of this VM.
+    pub fn record_answer(&mut self, now: Duration, service: u32, parts: &[u64]) {
+        *self.local_counts.entry(service).or_default() += 1;
+        self.answers.entry(service).or_default().add(now, 1);
+        if self.answered.len() + parts.len() > MAX_ANSWERED_PARTS {
+            self.answered.retain(|_, answers| {
+                answers.newest.is_some_and(|newest| newest + REPORTING_TIME >= now)
+            });
+        }
+        for part in parts {
+            let failed = self.failures.iter().any(|known| known.failure.parts.contains(part));
+            let answers = self.answered.entry(*part).or_default();
+            if failed && answers.cleared.is_none() {
+                answers.cleared = Some(now);
+            }
+            answers.local = Some(now);
+            answers.newest = Some(now);
+        }
+    }
+
+    /// Records answers and failures that another VM reports.
+    pub fn observe(
+        &mut self,
+        now: Duration,
+        (vm, incarnation): (&VmId, u64),
+        report: &PromptReport,
+    ) {
+        let time_of = |age_ms: u16| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        for failure in &report.failures {
+            self.insert(time_of(failure.age_ms), failure.clone(), false);
+        }
+        for answer in &report.answered {
+            let answers = self.answered.entry(answer.part).or_default();
+            answers.newest = answers.newest.max(Some(time_of(answer.age_ms)));
+        }
+        let (known, counts) = self.peer_counts.entry(vm.clone()).or_default();
+        if *known != incarnation {
+            (*known, *counts) = (incarnation, FxHashMap::default());
+        }
+        for AnswerCount { service, answers } in &report.counts {
+            // The first count includes answers from before the failures.
+            if let Some(previous) = counts.insert(*service, *answers) {
+                let new = answers.saturating_sub(previous);
+                self.answers.entry(*service).or_default().add(now, new);
+            }
+        }
+    }
+
+    /// Drops failures that are too old to be compared. Returns whether any are left.
+    pub fn expire(&mut self, now: Duration) -> bool {
+        self.failures.retain(|known| known.at + EVIDENCE_LIFETIME >= now);
+        if self.failures.is_empty() {
+            self.peer_counts.clear();
+        }
+        !self.failures.is_empty()
+    }
+
+    /// Returns what other VMs have to know, without the quarantined parts.
+    pub fn report(&self, now: Duration) -> PromptReport {
+        if self.failures.is_empty() {
+            return PromptReport::default();
+        }
+        let age_of = |at: Duration| now.saturating_sub(at).as_millis() as u16;
+        let is_recent = |at: Duration| at + REPORTING_TIME >= now;
+        let mut parts = 0;
+        let local =
+            self.failures.iter().rev().filter(|known| known.is_local && is_recent(known.at));
+        let local = local.take_while(|known| {
+            parts += known.failure.parts.len();
+            parts <= MAX_REPORTED_PARTS
+        });
+        let failures =
+            local.map(|known| PromptFailure { age_ms: age_of(known.at), ..known.failure.clone() });
+        let cleared = self.answered.iter().filter_map(|(part, answers)| {
+            let cleared = answers.cleared.filter(|at| is_recent(*at))?;
+            Some(PartAnswer { part: *part, age_ms: age_of(cleared) })
+        });
+        let mut answered: Vec<_> = cleared.collect();
+        answered.sort_unstable_by_key(|answer| (answer.age_ms, answer.part));
+        answered.truncate(MAX_REPORTED_ANSWERS);
+        let services: BTreeSet<u32> =
+            self.failures.iter().map(|known| known.failure.service).collect();
+        let counts = services.into_iter().map(|service| AnswerCount {
+            service,
+            answers: self.local_counts.get(&service).copied().unwrap_or_default(),
+        });
+        PromptReport {
+            failures: failures.collect(),
+            answered,
+            counts: counts.collect(),
+            quarantines: Vec::new(),
+        }
+    }
+
+    fn is_live(&self, part: u64, failed_at: Duration) -> bool {
+        let newest = self.answered.get(&part).and_then(|answers| answers.newest);
+        newest.is_none_or(|newest| newest < failed_at)
+    }
+
+    /// Returns whether requests with one of these parts failed at several targets without an answer since.
+    pub fn is_suspect(&self, now: Duration, parts: &[u64]) -> bool {
+        parts.iter().any(|part| {
+            let failures = self.failures.iter().filter(|known| {
+                known.at + SUSPICION_TIME >= now
+                    && known.failure.parts.contains(part)
+                    && self.is_live(*part, known.at)
+            });
+            let targets: BTreeSet<u32> = failures.map(|known| known.failure.target).collect();
+            targets.len() >= MIN_SUSPECT_FAILURES
+        })
+    }
+
+    /// Returns the parts that are most likely to crash targets, if any are likely enough. Failures that
+    /// quarantined parts explain are left out.
+    pub fn judge(&self, now: Duration, quarantines: &QuarantineList) -> Option<CrashVerdict> {
+        let settled: Vec<&RecordedFailure> = self
+            .failures
+            .iter()
+            .filter(|known| known.at + SETTLING_TIME <= now)
+            .filter(|known| !quarantines.is_quarantined(&known.failure.parts))
+            .collect();
+        let mut by_part: FxHashMap<u64, PartFailures> = FxHashMap::default();
+        for (index, known) in settled.iter().enumerate() {
+            let failure = &known.failure;
+            for part in failure.parts.iter().filter(|part| self.is_live(**part, known.at)) {
+                let failures = by_part.entry(*part).or_insert_with(|| PartFailures {
+                    first_at: known.at,
+                    ..PartFailures::default()
+                });
+                failures.failures.push(index);
+                failures.targets.insert(failure.target);
+                failures.subjects.insert(failure.subject);
+                failures.services.insert(failure.service);
+                failures.first_at = failures.first_at.min(known.at);
+            }
+        }
+        let verdicts = by_part.values().filter_map(|failures| {
+            let verdict = self.weigh(&settled, failures)?;
+            Some((verdict, failures))
+        });
+        let (verdict, failures) = verdicts.max_by(|(a, _), (b, _)| {
+            (a.targets, a.log_odds)
+                .partial_cmp(&(b.targets, b.log_odds))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        })?;
+        let inseparable = by_part.iter().filter(|(_, other)| other.failures == failures.failures);
+        let parts = PartSet::of(inseparable.map(|(part, _)| *part));
+        Some(CrashVerdict { parts, ..verdict })
+    }
+
+    fn weigh(&self, settled: &[&RecordedFailure], failures: &PartFailures) -> Option<CrashVerdict> {
+        if failures.targets.len() < MIN_FAILURES || failures.subjects.len() < MIN_FAILURES {
+            return None;
+        }
+        let compared = settled.iter().enumerate().filter(|(_, known)| {
+            known.at >= failures.first_at && failures.services.contains(&known.failure.service)
+        });
+        let other_failures =
+            compared.filter(|(index, _)| !failures.failures.contains(index)).count();
+        let answers = failures.services.iter().filter_map(|service| self.answers.get(service));
+        let answers = answers.map(|history| history.since(failures.first_at)).sum::<u32>();
+        let failed = other_failures as f64 + 1.0;
+        let failure_rate = failed / (failed + f64::from(answers));
+        let log_odds = failures.targets.len() as f64 * -failure_rate.ln();
+        (log_odds >= MIN_LOG_ODDS).then(|| CrashVerdict {
+            parts: PartSet::default(),
+            targets: failures.targets.len(),
+            other_failures,
+            answers,
+            log_odds,
+        })
+    }
+}
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -33,6 +33,10 @@
     report.targets != previous.targets
         || report.waiting != previous.waiting
         || report.quotas.iter().any(|spent| !is_known(spent))
+        || report
+            .prompts
+            .as_ref()
+            .is_some_and(|prompts| prompts.has_news(previous.prompts.as_deref()))
 }
 
 /// Returns the interval between reports in a fleet of this size.
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -21,6 +21,7 @@
 use crate::gateway::load::LoadReport;
 use crate::gateway::metrics::{GatewayMetrics, GaugeValues};
 use crate::gateway::peering::GatewayPeering;
+use crate::gateway::prompt_guard::PromptGuard;
 use crate::gateway::quota::{QuotaLedger, QuotaState};
 use crate::gateway::slots::ServingTarget;
 use crate::gateway::transport::TargetTransport;
@@ -41,6 +42,7 @@
     pub(crate) peering: GatewayPeering,
     pub(crate) jobs: JobService,
     pub(crate) leases: LeaseRegistry,
+    pub(crate) prompts: PromptGuard,
     decoder: Rc<dyn RowDecoder>,
     connections: ConnectionPool,
     catalog: RefCell<Option<Rc<RouteCatalog>>>,
@@ -94,6 +96,7 @@
             listing: RefCell::default(),
             out_of_service: RefCell::default(),
             leases: LeaseRegistry::default(),
+            prompts: PromptGuard::default(),
             store_clock: Cell::default(),
             running: Cell::new(0),
             stopping_since: Cell::new(None),
@@ -101,6 +104,7 @@
         core.spawn_followers();
         core.spawn_peering();
         core.spawn_jobs();
+        core.spawn_prompt_guard();
         tokio::task::spawn_local(advance_waiting(Rc::clone(&core)));
         tokio::task::spawn_local(balance(Rc::clone(&core)));
         tokio::task::spawn_local(expire(Rc::clone(&core)));
@@ -131,6 +135,7 @@
             connections_opened: self.connections.opened(),
             quota_subtracted,
             quota_dropped,
+            quarantines: self.quarantine_count(),
             dropped_messages: self.peering.dropped_messages(),
         });
         self.metrics.encode()
@@ -280,6 +285,11 @@
             quotas.observe(now, vm, report);
         }
         drop(quotas);
+        for (vm, report) in &new_reports {
+            if let Some(prompts) = &report.prompts {
+                self.apply_prompt_report(vm, report.incarnation, prompts);
+            }
+        }
         self.advance();
     }
 
@@ -292,6 +302,7 @@
             targets,
             quotas: self.quotas.borrow().spent(monotonic()),
             waiting,
+            prompts: self.prompt_report(monotonic()),
         }
     }
 }
--- a/crates/ebonydock/src/gateway/slots.rs
+++ b/crates/ebonydock/src/gateway/slots.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::gateway::cold_start::{ColdStartCapacity, ColdStartTurns};
 use crate::gateway::load::target_hash;
 use crate::ids::{DataCentreId, ServiceName, TargetId};
@@ -37,6 +39,14 @@
     pub cold_for: Duration,
 }
 
+impl ServingTarget {
+    /// Returns a hash that differs between incarnations.
+    pub(crate) fn incarnation_hash(&self) -> u32 {
+        let id = xxh3_64(self.id.as_str().as_bytes());
+        (id ^ self.started_at_ms.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as u32
+    }
+}
+
 /// Outcome of a request, passed when its slot is released.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotOutcome {
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -30,16 +30,18 @@
     WorkspaceEntry,
 };
 pub use gateway::{
-    BatchPolicy, BatchPreemption, BodyBudget, BodyReceiver, CallerLimits, ConnectionPool,
-    EventSplitter, ForwardResponse, ForwardRoute, ForwardedRequest, Gateway, GatewayConfig,
-    GatewayMetrics, GatewayRefusal, GatewaySettings, GatewayWorkspace, IdleConnections,
-    JobApiResult, JobItem, JobItemResult, JobRefusal, JobResultPage, JobSubmission, LoadReport,
-    LoadUpdate, OperatorRecord, OversizedEvent, PlacementOutcome, PooledBody, PooledResponse,
-    PromptPart, QuotaLedger, QuotaState, RefusalReason, ReportFrame, ReportInterest, ReportedLoad,
-    RequestDispatcher, RequestId, ResponseBody, ResponseMeaning, RouteBackend, RouteCatalog,
-    RouteClass, RouteMiss, RowDecoder, SendError, ServiceProfile, ServingTarget, SlotNeed,
-    SlotOutcome, SlotRefusal, SlotWaiter, SpentQuota, StreamEvent, TargetAttempt, TargetBodyStream,
-    TargetResponse, TargetTransport, TokenDemand, open_decision_log,
+    AnswerCount, BatchPolicy, BatchPreemption, BodyBudget, BodyReceiver, CallerLimits,
+    ConnectionPool, CrashVerdict, EventSplitter, FailureLedger, ForwardResponse, ForwardRoute,
+    ForwardedRequest, Gateway, GatewayConfig, GatewayMetrics, GatewayRefusal, GatewaySettings,
+    GatewayWorkspace, IdleConnections, JobApiResult, JobItem, JobItemResult, JobRefusal,
+    JobResultPage, JobSubmission, LoadReport, LoadUpdate, OperatorRecord, OversizedEvent,
+    PartAnswer, PartSet, PlacementOutcome, PooledBody, PooledResponse, PromptFailure, PromptPart,
+    PromptReport, QuarantineList, QuotaLedger, QuotaState, RefusalReason, ReportFrame,
+    ReportInterest, ReportedLoad, ReportedQuarantine, RequestDispatcher, RequestId, ResponseBody,
+    ResponseMeaning, RouteBackend, RouteCatalog, RouteClass, RouteMiss, RowDecoder, SendError,
+    ServiceProfile, ServingTarget, SlotNeed, SlotOutcome, SlotRefusal, SlotWaiter, SpentQuota,
+    StreamEvent, TargetAttempt, TargetBodyStream, TargetResponse, TargetTransport, TokenDemand,
+    open_decision_log,
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
