Quarantine: chance is judged over all requests, and late answers lift a quarantine

Emulated fleets whose targets crash or reset requests for other reasons refused sound requests: 138 of 1192 with 10 % of the requests reset and a tenth of the targets crashing each second, because the failure rate was taken from the moment of the failures alone, where chance clusters them, and each of hundreds of requests starts a row that may fail. The rate is now the higher one of that moment and of the whole period, and a row must be too long for that many requests. Answers to other requests count only while requests with the part were sent.

--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -19,15 +19,16 @@
 /// Period in which a failure or an answer is repeated in reports, so that lost reports lose nothing.
 const REPORTING_TIME: Duration = Duration::from_secs(3);
 /// Minimum age of a failure that counts: by then VMs that answered the same parts have reported it.
-const SETTLING_TIME: Duration = Duration::from_millis(200);
+pub(crate) const SETTLING_TIME: Duration = Duration::from_millis(200);
 /// Minimum number of targets and of different requests that failed.
 const MIN_FAILURES: usize = 3;
 /// Number of targets from which a request with a part is not sent again after a failure.
 const MIN_SUSPECT_FAILURES: usize = 2;
 /// Period after a failure in which requests with the same parts are held back or not sent again.
 const SUSPICION_TIME: Duration = Duration::from_secs(2);
-/// Minimum odds, as a natural logarithm, against so many failures in a row by chance.
-const MIN_LOG_ODDS: f64 = 7.0;
+/// Natural logarithm of the factor by which so many failures in a row must be too many for chance, given the
+/// number of requests in which chance may produce such a row.
+const MIN_LOG_SURPRISE: f64 = 5.0;
 /// Limit for failures that are compared; older ones are dropped.
 const MAX_FAILURES: usize = 512;
 /// Limit for parts whose last answer is known.
@@ -76,9 +77,9 @@
         }
     }
 
-    fn since(&self, at: Duration) -> u32 {
-        let recent = self.buckets.iter().rev().take_while(|(began, _)| *began >= at);
-        recent.map(|(_, count)| count).sum()
+    fn between(&self, from: Duration, to: Duration) -> u32 {
+        let within = self.buckets.iter().filter(|(began, _)| (from..=to).contains(began));
+        within.map(|(_, count)| count).sum()
     }
 }
 
@@ -91,6 +92,7 @@
     subjects: BTreeSet<u32>,
     services: BTreeSet<u32>,
     first_at: Duration,
+    last_at: Duration,
 }
 
 /// Parts that crash targets, with the evidence.
@@ -100,12 +102,12 @@
     pub parts: PartSet,
     /// Number of targets at which requests with the parts failed.
     pub targets: usize,
-    /// Failures of other requests since the first of them.
+    /// Failures of other requests at about the same time.
     pub other_failures: usize,
-    /// Answers to other requests since the first of them.
+    /// Answers to other requests at about the same time.
     pub answers: u32,
-    /// Odds against these failures by chance, as a natural logarithm.
-    pub log_odds: f64,
+    /// Odds against any such failures by chance in the compared period, as a natural logarithm.
+    pub log_surprise: f64,
 }
 
 /// Failed attempts of all VMs at requests that had not begun to be answered.
@@ -243,6 +245,12 @@
         newest.is_none_or(|newest| newest < failed_at)
     }
 
+    /// Returns whether each of the parts was answered after a time, so that none of them crashes targets.
+    pub fn are_answered(&self, parts: &PartSet, after: Duration) -> bool {
+        let newest = |part| self.answered.get(part).and_then(|answers| answers.newest);
+        parts.parts().iter().all(|part| newest(part).is_some_and(|newest| newest > after))
+    }
+
     /// Returns whether requests with one of these parts failed at several targets without an answer since.
     pub fn is_suspect(&self, now: Duration, parts: &[u64]) -> bool {
         parts.iter().any(|part| {
@@ -278,6 +286,7 @@
                 failures.subjects.insert(failure.subject);
                 failures.services.insert(failure.service);
                 failures.first_at = failures.first_at.min(known.at);
+                failures.last_at = failures.last_at.max(known.at);
             }
         }
         let verdicts = by_part.values().filter_map(|failures| {
@@ -285,8 +294,8 @@
             Some((verdict, failures))
         });
         let (verdict, failures) = verdicts.max_by(|(a, _), (b, _)| {
-            (a.targets, a.log_odds)
-                .partial_cmp(&(b.targets, b.log_odds))
+            (a.targets, a.log_surprise)
+                .partial_cmp(&(b.targets, b.log_surprise))
                 .unwrap_or(std::cmp::Ordering::Equal)
         })?;
         let inseparable = by_part.iter().filter(|(_, other)| other.failures == failures.failures);
@@ -298,22 +307,36 @@
         if failures.targets.len() < MIN_FAILURES || failures.subjects.len() < MIN_FAILURES {
             return None;
         }
+        // Later answers to other requests say nothing about requests with the part that nobody sent.
+        let from = failures.first_at.saturating_sub(SETTLING_TIME);
+        let to = failures.last_at + SETTLING_TIME;
         let compared = settled.iter().enumerate().filter(|(_, known)| {
-            known.at >= failures.first_at && failures.services.contains(&known.failure.service)
+            (from..=to).contains(&known.at) && failures.services.contains(&known.failure.service)
         });
         let other_failures =
             compared.filter(|(index, _)| !failures.failures.contains(index)).count();
         let answers = failures.services.iter().filter_map(|service| self.answers.get(service));
-        let answers = answers.map(|history| history.since(failures.first_at)).sum::<u32>();
-        let failed = other_failures as f64 + 1.0;
-        let failure_rate = failed / (failed + f64::from(answers));
-        let log_odds = failures.targets.len() as f64 * -failure_rate.ln();
-        (log_odds >= MIN_LOG_ODDS).then(|| CrashVerdict {
+        let answers = answers.map(|history| history.between(from, to)).sum::<u32>();
+        let all_answers: u32 =
+            self.answers.values().map(|history| history.between(Duration::ZERO, to)).sum();
+        let all_failures = settled.len() - failures.failures.len();
+        // Chance clusters failures, so the rate at the time of the failures alone would be too low.
+        let rate =
+            failure_rate(other_failures, answers).max(failure_rate(all_failures, all_answers));
+        let log_odds = failures.targets.len() as f64 * -rate.ln();
+        let requests = settled.len() as f64 + f64::from(all_answers);
+        let log_surprise = log_odds - requests.ln();
+        (log_surprise >= MIN_LOG_SURPRISE).then(|| CrashVerdict {
             parts: PartSet::default(),
             targets: failures.targets.len(),
             other_failures,
             answers,
-            log_odds,
+            log_surprise,
         })
     }
 }
+
+fn failure_rate(failures: usize, answers: u32) -> f64 {
+    let failures = failures as f64 + 1.0;
+    failures / (failures + f64::from(answers))
+}
--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -14,7 +14,7 @@
 use crate::gateway::forward::{AdmittedRequest, AttemptHistory, GatewayRefusal, RefusalReason};
 use crate::gateway::job_records::{decode, encode};
 use crate::gateway::load::{PromptFailure, PromptReport, service_hash};
-use crate::gateway::prompt_failures::FailureLedger;
+use crate::gateway::prompt_failures::{FailureLedger, SETTLING_TIME};
 use crate::gateway::quarantine::{PartSet, QuarantineList, QuarantineRecord, QuarantineWrite};
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::runtime::GatewayCore;
@@ -99,7 +99,7 @@
         self.prompts.ledger.borrow_mut().record_answer(monotonic(), service, &parts);
         let quarantined = self.prompts.quarantines.borrow().find(&parts).cloned();
         if let Some(quarantined) = quarantined {
-            self.lift_quarantine(&quarantined, &admitted.request.id);
+            self.lift_quarantine(&quarantined, Some(&admitted.request.id));
         }
     }
 
@@ -173,12 +173,15 @@
         Ok(())
     }
 
-    fn lift_quarantine(&self, parts: &PartSet, answered: &str) {
+    /// Lifts a quarantine because of an answer to the request `answered`, or at another VM if it is `None`.
+    fn lift_quarantine(&self, parts: &PartSet, answered: Option<&str>) {
         let stored = self.prompts.quarantines.borrow_mut().lift(monotonic(), parts);
+        self.prompts.changed.notify_waiters();
         self.metrics.count("quarantine", "lifted");
         log::warn!(
-            parts = parts.to_string(), id = answered, row_version = stored.unwrap_or(0);
-            "quarantine lifted: a request was answered"
+            parts = parts.to_string(), id = answered.unwrap_or_default(),
+            row_version = stored.unwrap_or(0);
+            "quarantine lifted: requests with its parts were answered"
         );
         let Some(version) = stored else { return };
         let key = parts.row_key();
@@ -263,6 +266,14 @@
 
     fn judge(&self) {
         let now = monotonic();
+        // Answers that other VMs reported late.
+        let recent = self.prompts.quarantines.borrow().recent(now);
+        for (parts, since) in recent {
+            let after = since.saturating_sub(SETTLING_TIME);
+            if self.prompts.ledger.borrow().are_answered(&parts, after) {
+                self.lift_quarantine(&parts, None);
+            }
+        }
         loop {
             let mut quarantines = self.prompts.quarantines.borrow_mut();
             let verdict = self.prompts.ledger.borrow().judge(now, &quarantines);
@@ -275,7 +286,7 @@
             log::warn!(
                 parts = verdict.parts.to_string(), targets = verdict.targets as u64,
                 other_failures = verdict.other_failures as u64, answers = verdict.answers,
-                log_odds = verdict.log_odds;
+                log_surprise = verdict.log_surprise;
                 "prompt parts quarantined: requests with them crash targets"
             );
             self.prompts.unsaved.notify_one();
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -127,6 +127,12 @@
         self.find(prompt).is_some()
     }
 
+    /// Returns the sets that were quarantined recently, with the time.
+    pub fn recent(&self, now: Duration) -> Vec<(PartSet, Duration)> {
+        let recent = self.active().filter(|(_, entry)| entry.changed_at + REPORTING_TIME >= now);
+        recent.map(|(parts, entry)| (parts.clone(), entry.changed_at)).collect()
+    }
+
     /// Quarantines a set of parts. Returns false if it is quarantined already.
     pub fn add(&mut self, now: Duration, parts: &PartSet) -> bool {
         if self.is_quarantined(parts.parts()) {
--- /dev/null
+++ b/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
@@ -0,0 +1,318 @@
+//! Emulated fleets whose targets crash, for many reasons or because of one prompt part. VMs exchange load
+//! reports that are late or lost. Time advances in ticks.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use yare::parameterized;
+
+use crate::gateway::load::{LoadReport, PromptFailure, PromptReport};
+use crate::gateway::prompt_failures::{FailureLedger, SETTLING_TIME};
+use crate::gateway::quarantine::QuarantineList;
+use crate::gateway::report_exchange::has_changes;
+use crate::ids::VmId;
+
+const TICK_MS: u64 = 5;
+const HEARTBEAT_MS: u64 = 400;
+const JUDGE_MS: u64 = 50;
+const SERVICE: u32 = 1;
+const DEADLY_PART: u64 = 0xdead;
+/// Time that VMs have to notice crashes.
+const STABLE_MS: u64 = 3000;
+
+#[derive(Clone, Copy)]
+struct PromptSite {
+    vms: usize,
+    targets: usize,
+    requests_per_s: f64,
+    /// Parts that many requests share, and parts of sessions, which few requests share.
+    groups: u64,
+    sessions: u64,
+    /// Fraction of the requests with the deadly part.
+    deadly: f64,
+    /// Fraction of the targets that crash each second for other reasons.
+    crashes: f64,
+    /// Fraction of the requests that are reset on the way.
+    resets: f64,
+    /// Every so many seconds, a third of the targets crashes at once.
+    mass_crash_s: u64,
+    lost_reports: f64,
+}
+
+const SMALL: PromptSite = PromptSite {
+    vms: 12,
+    targets: 9,
+    requests_per_s: 40.0,
+    groups: 8,
+    sessions: 476,
+    deadly: 0.0,
+    crashes: 0.0,
+    resets: 0.0,
+    mass_crash_s: u64::MAX,
+    lost_reports: 0.05,
+};
+const LARGE: PromptSite =
+    PromptSite { vms: 195, targets: 78, requests_per_s: 330.0, sessions: 1659, ..SMALL };
+
+struct EmulatedRequest {
+    vm: usize,
+    target: usize,
+    subject: u32,
+    parts: Vec<u64>,
+    answers_ms: u64,
+}
+
+struct EmulatedVm {
+    name: VmId,
+    ledger: FailureLedger,
+    quarantines: QuarantineList,
+    last: LoadReport,
+    last_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct FleetOutcome {
+    sent: u32,
+    answered: u32,
+    sound_refused: u32,
+    deadly_sent: u32,
+    /// Deadly requests sent more than `STABLE_MS` after the fifth crash by them.
+    deadly_late: u32,
+    fifth_crash_ms: Option<u64>,
+}
+
+struct PromptFleet {
+    site: PromptSite,
+    random: StdRng,
+    now_ms: u64,
+    vms: Vec<EmulatedVm>,
+    /// Incarnation of each target, and when it is back.
+    targets: Vec<(u32, u64)>,
+    running: Vec<EmulatedRequest>,
+    reports: VecDeque<(u64, VmId, PromptReport)>,
+    next: u32,
+    deadly_crashes: u32,
+    outcome: FleetOutcome,
+}
+
+impl PromptFleet {
+    fn open(site: PromptSite, seed: u64) -> Self {
+        let vms = (0..site.vms).map(|number| EmulatedVm {
+            name: VmId::from(format!("vm{number}")),
+            ledger: FailureLedger::default(),
+            quarantines: QuarantineList::default(),
+            last: LoadReport::default(),
+            last_ms: 0,
+        });
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            vms: vms.collect(),
+            targets: (0..site.targets).map(|number| (number as u32, 0)).collect(),
+            running: Vec::new(),
+            reports: VecDeque::new(),
+            next: site.targets as u32,
+            deadly_crashes: 0,
+            outcome: FleetOutcome::default(),
+            site,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        Duration::from_millis(self.now_ms)
+    }
+
+    fn next_number(&mut self) -> u32 {
+        self.next += 1;
+        self.next
+    }
+
+    fn submit(&mut self) {
+        let vm = self.random.random_range(0..self.site.vms);
+        let session = self.random.random_range(0..self.site.sessions);
+        let is_deadly = self.random.random::<f64>() < self.site.deadly;
+        // All requests with the deadly part share their other parts, as in one workspace.
+        let session = if is_deadly { 7 } else { session };
+        let mut parts = vec![1 + session % self.site.groups, 1000 + session];
+        if is_deadly {
+            parts.push(DEADLY_PART);
+        }
+        if self.vms[vm].quarantines.is_quarantined(&parts) {
+            self.outcome.sound_refused += u32::from(!is_deadly);
+            return;
+        }
+        let alive = self.targets.iter().enumerate().filter(|(_, (_, back))| *back <= self.now_ms);
+        let alive: Vec<usize> = alive.map(|(index, _)| index).collect();
+        if alive.is_empty() {
+            return;
+        }
+        let target = alive[self.random.random_range(0..alive.len())];
+        self.outcome.sent += 1;
+        if is_deadly {
+            self.outcome.deadly_sent += 1;
+            let bound = self.outcome.fifth_crash_ms.map(|at| at + STABLE_MS);
+            self.outcome.deadly_late += u32::from(bound.is_some_and(|bound| self.now_ms > bound));
+        }
+        let subject = self.next_number();
+        let answers_ms = self.now_ms + self.random.random_range(20..100);
+        self.running.push(EmulatedRequest { vm, target, subject, parts, answers_ms });
+    }
+
+    fn fail(&mut self, request: &EmulatedRequest, incarnation: u32) {
+        let failure = PromptFailure {
+            target: incarnation,
+            service: SERVICE,
+            subject: request.subject,
+            parts: request.parts.clone(),
+            age_ms: 0,
+        };
+        let now = self.now();
+        self.vms[request.vm].ledger.record_failure(now, failure);
+    }
+
+    fn crash(&mut self, target: usize) {
+        let (incarnation, _) = self.targets[target];
+        self.targets[target] = (self.next_number(), self.now_ms + 3000);
+        let running = std::mem::take(&mut self.running);
+        let (lost, running) = running.into_iter().partition(|request| request.target == target);
+        self.running = running;
+        let lost: Vec<EmulatedRequest> = lost;
+        for request in lost {
+            self.fail(&request, incarnation);
+        }
+    }
+
+    fn answer(&mut self) {
+        let now = self.now();
+        loop {
+            let due = self.running.iter().position(|request| request.answers_ms <= self.now_ms);
+            let Some(due) = due else { return };
+            if self.running[due].parts.contains(&DEADLY_PART) {
+                let target = self.running[due].target;
+                self.crash(target);
+                self.deadly_crashes += 1;
+                if self.deadly_crashes == 5 {
+                    self.outcome.fifth_crash_ms = Some(self.now_ms);
+                }
+                continue;
+            }
+            let request = self.running.swap_remove(due);
+            if self.random.random::<f64>() < self.site.resets {
+                let (incarnation, _) = self.targets[request.target];
+                self.fail(&request, incarnation);
+            } else {
+                self.outcome.answered += 1;
+                self.vms[request.vm].ledger.record_answer(now, SERVICE, &request.parts);
+            }
+        }
+    }
+
+    fn crash_at_random(&mut self) {
+        let is_mass_crash = self.now_ms > 0
+            && self.now_ms.is_multiple_of(self.site.mass_crash_s.saturating_mul(1000));
+        let probability = self.site.crashes * TICK_MS as f64 / 1000.0;
+        for target in 0..self.targets.len() {
+            let is_up = self.targets[target].1 <= self.now_ms;
+            let crashes = self.random.random::<f64>() < probability;
+            if is_up && (crashes || (is_mass_crash && target % 3 == 0)) {
+                self.crash(target);
+            }
+        }
+    }
+
+    fn exchange_reports(&mut self) {
+        let now = self.now();
+        for vm in &mut self.vms {
+            let mut prompts = vm.ledger.report(now);
+            prompts.quarantines = vm.quarantines.report(now);
+            let prompts = (prompts != PromptReport::default()).then(|| Box::new(prompts));
+            let report = LoadReport { prompts, ..LoadReport::default() };
+            if !has_changes(&report, &vm.last) && self.now_ms < vm.last_ms + HEARTBEAT_MS {
+                continue;
+            }
+            if let Some(prompts) = &report.prompts {
+                let arrives_ms = self.now_ms + 40;
+                self.reports.push_back((arrives_ms, vm.name.clone(), PromptReport::clone(prompts)));
+            }
+            (vm.last, vm.last_ms) = (report, self.now_ms);
+        }
+        while self.reports.front().is_some_and(|(at, ..)| *at <= self.now_ms) {
+            let Some((_, from, report)) = self.reports.pop_front() else { return };
+            for vm in &mut self.vms {
+                if vm.name == from || self.random.random::<f64>() < self.site.lost_reports {
+                    continue;
+                }
+                vm.ledger.observe(now, (&from, 1), &report);
+                for changed in &report.quarantines {
+                    vm.quarantines.observe(now, changed);
+                }
+            }
+        }
+    }
+
+    fn judge(&mut self) {
+        let now = self.now();
+        for vm in &mut self.vms {
+            for (parts, since) in vm.quarantines.recent(now) {
+                if vm.ledger.are_answered(&parts, since.saturating_sub(SETTLING_TIME)) {
+                    vm.quarantines.lift(now, &parts);
+                }
+            }
+            while vm.ledger.expire(now)
+                && let Some(verdict) = vm.ledger.judge(now, &vm.quarantines)
+                && vm.quarantines.add(now, &verdict.parts)
+            {}
+        }
+    }
+
+    fn run(mut self, seconds: u64) -> FleetOutcome {
+        while self.now_ms < seconds * 1000 {
+            let expected = self.site.requests_per_s * TICK_MS as f64 / 1000.0;
+            for _ in 0..(expected + self.random.random::<f64>()).floor() as usize {
+                self.submit();
+            }
+            self.answer();
+            self.crash_at_random();
+            if self.now_ms.is_multiple_of(15) {
+                self.exchange_reports();
+            }
+            if self.now_ms.is_multiple_of(JUDGE_MS) {
+                self.judge();
+            }
+            self.now_ms += TICK_MS;
+        }
+        self.outcome
+    }
+}
+
+#[parameterized(
+    small = { PromptSite { deadly: 0.05, ..SMALL }, 8, 30 },
+    rare = { PromptSite { deadly: 0.01, ..SMALL }, 8, 30 },
+    beside_crashes = { PromptSite { deadly: 0.05, crashes: 0.05, resets: 0.03, ..SMALL }, 8, 30 },
+    lost_reports = { PromptSite { deadly: 0.05, lost_reports: 0.5, ..SMALL }, 8, 30 },
+    large = { PromptSite { deadly: 0.05, ..LARGE }, 1, 10 },
+)]
+fn part_that_crashes_targets_is_quarantined_in_time(site: PromptSite, seeds: u64, seconds: u64) {
+    for seed in 0..seeds {
+        let outcome = PromptFleet::open(site, seed).run(seconds);
+        assert!(outcome.deadly_late <= 3, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_refused, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
+#[parameterized(
+    crashes = { PromptSite { crashes: 0.1, ..SMALL }, 8, 30 },
+    resets = { PromptSite { resets: 0.2, ..SMALL }, 8, 30 },
+    crashes_and_resets = { PromptSite { crashes: 0.1, resets: 0.1, ..SMALL }, 8, 30 },
+    mass_crashes = { PromptSite { mass_crash_s: 5, ..SMALL }, 8, 30 },
+    few_groups = { PromptSite { crashes: 0.2, groups: 2, sessions: 20, ..SMALL }, 8, 30 },
+    large = { PromptSite { crashes: 0.1, resets: 0.05, mass_crash_s: 7, ..LARGE }, 1, 10 },
+)]
+fn sound_parts_are_not_quarantined(site: PromptSite, seeds: u64, seconds: u64) {
+    for seed in 0..seeds {
+        let outcome = PromptFleet::open(site, seed).run(seconds);
+        assert_eq!(outcome.sound_refused, 0, "seed {seed}: {outcome:?}");
+    }
+}
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -4,8 +4,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::configuration::KeyHash;
 use crate::gateway::connections::SendError;
-use crate::gateway::forward::ResponseBody;
+use crate::gateway::forward::{RefusalReason, ResponseBody};
+use crate::gateway::handle::Gateway;
+use crate::gateway::job_records::{JobItem, JobSubmission};
+use crate::gateway::quarantine::{PartSet, QuarantineList};
 use crate::gateway::request::{ForwardedRequest, PromptPart, TokenDemand};
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, request, run};
 
@@ -31,6 +35,31 @@
     FakeSite::open(targets)
 }
 
+/// Registers targets that crashed under new ids, as targets do that start again.
+fn restart_crashed(site: &FakeSite, restarted: &mut usize) -> usize {
+    let crashed: Vec<String> = {
+        let seen = site.targets.seen.borrow();
+        let deadly = seen.iter().filter(|attempt| attempt.parts.contains(&DEADLY_PART));
+        deadly.map(|attempt| attempt.target.clone()).collect()
+    };
+    let new = &crashed[*restarted..];
+    for (index, target) in new.iter().enumerate() {
+        site.store.remove("targets", target);
+        site.store.put("targets", &format!("s{}", *restarted + index), b"ready");
+    }
+    *restarted = crashed.len();
+    new.len()
+}
+
+/// Reads the response of a request, and returns whether it began.
+async fn is_answered(gateway: Gateway, request: ForwardedRequest) -> bool {
+    let Ok(response) = gateway.forward(request).await else { return false };
+    let ResponseBody::Chunks(mut chunks) = response.body else { return false };
+    let has_begun = chunks.recv().await.is_some_and(|chunk| chunk.is_ok());
+    while let Some(Ok(_)) = chunks.recv().await {}
+    has_begun
+}
+
 // Five crashes, three seconds to notice them, and three requests more.
 #[test]
 fn requests_with_part_that_crashes_targets_stop_reaching_targets() {
@@ -39,8 +68,7 @@
         let gateway = site.gateway("vm1").await;
         let served = Rc::new(Cell::new(0));
         let mut fifth_crash = None;
-        let mut late = 0;
-        let mut seen_crashes = 0;
+        let (mut crashes, mut late) = (0, 0);
         for step in 0..400 {
             let is_deadly = step % 8 == 7;
             let parts: &[u64] =
@@ -48,35 +76,170 @@
             let request = prompt_request(&format!("r{step}"), "/chat/1", parts);
             let (gateway, served) = (gateway.clone(), Rc::clone(&served));
             tokio::task::spawn_local(async move {
-                if let Ok(response) = gateway.forward(request).await
-                    && let ResponseBody::Chunks(mut chunks) = response.body
-                    && chunks.recv().await.is_some_and(|chunk| chunk.is_ok())
-                {
-                    served.set(served.get() + 1);
-                    while let Some(Ok(_)) = chunks.recv().await {}
-                }
+                served.set(served.get() + u32::from(is_answered(gateway, request).await));
             });
             tokio::time::sleep(Duration::from_millis(40)).await;
             let now = tokio::time::Instant::now();
-            let crashes: Vec<_> = {
-                let seen = site.targets.seen.borrow();
-                let crashed = seen.iter().filter(|attempt| attempt.parts.contains(&DEADLY_PART));
-                crashed.map(|attempt| attempt.target.clone()).collect()
-            };
-            for target in &crashes[seen_crashes..] {
-                site.store.remove("targets", target);
-                site.store.put("targets", &format!("s{step}"), b"ready");
-                if fifth_crash.is_some_and(|at| now > at + Duration::from_secs(3)) {
-                    late += 1;
-                }
+            let new = restart_crashed(&site, &mut crashes);
+            if fifth_crash.is_some_and(|at| now > at + Duration::from_secs(3)) {
+                late += new;
             }
-            seen_crashes = crashes.len();
-            if seen_crashes >= 5 {
+            if crashes >= 5 {
                 fifth_crash = fifth_crash.or(Some(now));
             }
         }
         tokio::time::sleep(Duration::from_secs(1)).await;
-        assert!(late <= 3, "{late} requests with the part, {seen_crashes} crashes");
+        assert!(late <= 3, "{late} requests with the part, {crashes} crashes");
         assert!(served.get() >= 347, "{} of 350 sound requests were served", served.get());
     });
 }
+
+/// Sends requests until those with the deadly part are refused.
+async fn quarantine_deadly_part(site: &FakeSite, gateway: &Gateway) {
+    let mut crashes = 0;
+    for step in 0..100 {
+        let parts: &[u64] =
+            if step % 8 == 7 { &[SHARED_PART, DEADLY_PART] } else { &[SHARED_PART] };
+        let request = prompt_request(&format!("q{step}"), "/chat/1", parts);
+        let refusal = gateway.forward(request).await.err();
+        if refusal.is_some_and(|refusal| refusal.reason == RefusalReason::Quarantined) {
+            // Until the store has the quarantine.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        restart_crashed(site, &mut crashes);
+    }
+    panic!("not quarantined after {crashes} crashes");
+}
+
+// The second VM hears of the quarantine from the store only.
+#[test]
+fn quarantine_reaches_vm_that_starts_later() {
+    run(async {
+        let site = crashing_site();
+        let gateway = site.gateway("vm1").await;
+        quarantine_deadly_part(&site, &gateway).await;
+        let later = site.gateway("vm2").await;
+        let before = site.targets.seen.borrow().len();
+        let refusal = later.forward(prompt_request("late", "/chat/1", &[DEADLY_PART])).await;
+        assert_eq!(refusal.err().map(|refusal| refusal.reason), Some(RefusalReason::Quarantined));
+        assert_eq!(site.targets.seen.borrow().len(), before);
+        let sound = later.forward(prompt_request("sound", "/chat/1", &[SHARED_PART])).await;
+        assert!(sound.is_ok());
+    });
+}
+
+#[test]
+fn quarantine_is_stored_once_the_store_is_back() {
+    run(async {
+        let site = crashing_site();
+        let gateway = site.gateway("vm1").await;
+        site.store.refuses.set(true);
+        quarantine_deadly_part(&site, &gateway).await;
+        assert!(site.store.keys("gateway_quarantines").is_empty());
+        site.store.refuses.set(false);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(site.store.keys("gateway_quarantines").len(), 1);
+    });
+}
+
+// Two VMs ask for each trial. Targets still crash.
+#[test]
+fn fleet_tries_quarantined_part_again_with_single_requests() {
+    run(async {
+        let site = crashing_site();
+        let gateway = site.gateway("vm1").await;
+        quarantine_deadly_part(&site, &gateway).await;
+        let other = site.gateway("vm2").await;
+        let began = tokio::time::Instant::now();
+        let mut trials = Vec::new();
+        let mut known = site.targets.seen.borrow().len();
+        for step in 0..60 {
+            for (vm, gateway) in [("a", &gateway), ("b", &other)] {
+                let request = prompt_request(&format!("{vm}{step}"), "/resumed/1", &[DEADLY_PART]);
+                assert!(gateway.forward(request).await.is_err());
+            }
+            let sent = site.targets.seen.borrow().len() - known;
+            known += sent;
+            trials.extend(std::iter::repeat_n(began.elapsed().as_secs(), sent));
+            tokio::time::sleep(Duration::from_secs(10)).await;
+        }
+        assert_eq!(trials, [60, 540]);
+    });
+}
+
+#[test]
+fn trials_of_quarantined_part_end_after_three() {
+    let parts = PartSet::of([DEADLY_PART]);
+    let mut list = QuarantineList::default();
+    list.add(Duration::ZERO, &parts);
+    let write = list.unsaved(Duration::ZERO).remove(0);
+    list.apply_row(Duration::ZERO, 1, write.record);
+    let mut trials = Vec::new();
+    for minute in 0..100_000 {
+        let now = Duration::from_mins(minute);
+        if let Some(write) = list.due_trial(now, &parts) {
+            trials.push(minute);
+            list.apply_row(now, 1 + trials.len() as u64, write.record);
+        }
+    }
+    assert_eq!(trials, [1, 9, 73]);
+}
+
+#[test]
+fn answered_trial_lifts_quarantine_on_all_vms() {
+    run(async {
+        let is_mended = Rc::new(Cell::new(false));
+        let mended = Rc::clone(&is_mended);
+        let site = FakeSite::open(FakeTargets::open(move |seen, _| {
+            if seen.parts.contains(&DEADLY_PART) && !mended.get() {
+                TargetBehavior::Fails(SendError::Lost("reset".to_owned()))
+            } else {
+                TargetBehavior::Events(3, true)
+            }
+        }));
+        let gateway = site.gateway("vm1").await;
+        quarantine_deadly_part(&site, &gateway).await;
+        let other = site.gateway("vm2").await;
+        is_mended.set(true);
+        tokio::time::sleep(Duration::from_secs(61)).await;
+        assert!(gateway.forward(prompt_request("trial", "/chat/1", &[DEADLY_PART])).await.is_ok());
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert!(site.store.keys("gateway_quarantines").is_empty());
+        for gateway in [&gateway, &other] {
+            let request = prompt_request("sound", "/chat/1", &[DEADLY_PART]);
+            assert!(gateway.forward(request).await.is_ok());
+        }
+    });
+}
+
+#[test]
+fn items_with_quarantined_part_are_held_and_others_complete() {
+    run(async {
+        let site = crashing_site();
+        let gateway = site.gateway("vm1").await;
+        quarantine_deadly_part(&site, &gateway).await;
+        let item = |id: &str, parts: &[u64]| JobItem {
+            id: id.to_owned(),
+            path: "/night/1".to_owned(),
+            headers: Vec::new(),
+            body: b"letter".to_vec(),
+            tokens: 10,
+            demand: prompt_request(id, "/night/1", parts).demand.unwrap(),
+        };
+        let submission = JobSubmission {
+            id: "job".to_owned(),
+            host: "shop.example".to_owned(),
+            path: "/night/job".to_owned(),
+            key: Some(KeyHash::of("secret")),
+            items: vec![item("deadly", &[SHARED_PART, DEADLY_PART]), item("sound", &[SHARED_PART])],
+        };
+        let before = site.targets.seen.borrow().len();
+        gateway.submit_job(submission).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let seen: Vec<String> =
+            site.targets.seen.borrow()[before..].iter().map(|attempt| attempt.id.clone()).collect();
+        assert_eq!(seen, ["sound"]);
+    });
+}
