Quarantine: a single request that crashes targets, and the part that it shares with others

Now the part of a prompt that belongs to the request alone is compared too: three crashes quarantine the request, and two more by other requests with one of its parts quarantine that part.

--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -48,9 +48,7 @@
     pub target: u32,
     /// Hash of the service's name.
     pub service: u32,
-    /// Hash of the part of the prompt that belongs to the request alone.
-    pub subject: u32,
-    /// Parts of the prompt that other requests share.
+    /// Parts of the prompt.
     pub parts: Vec<u64>,
     /// Time since the failure in milliseconds.
     pub age_ms: u16,
@@ -105,7 +103,7 @@
         let previous = previous.unwrap_or(&nothing);
         let is_new_failure = |failure: &PromptFailure| {
             let mut known = previous.failures.iter();
-            !known.any(|known| known.target == failure.target && known.subject == failure.subject)
+            !known.any(|known| known.target == failure.target && known.parts == failure.parts)
         };
         let is_new_answer =
             |answer: &PartAnswer| !previous.answered.iter().any(|known| known.part == answer.part);
--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -1,7 +1,7 @@
 //! Finds the prompt parts that crash targets.
 //!
 //! A target that ends takes all of its requests along, and one of them may be the cause. VMs report the
-//! requests that had not begun to be answered, by their shared prompt parts. A part is the likely cause if the
+//! requests that had not begun to be answered, by their prompt parts. A part is the likely cause if the
 //! requests that share it failed at several targets, none of them was answered since, and that is improbable
 //! given how often other requests fail at the same time.
 
@@ -20,8 +20,11 @@
 const REPORTING_TIME: Duration = Duration::from_secs(3);
 /// Minimum age of a failure that counts: by then VMs that answered the same parts have reported it.
 pub(crate) const SETTLING_TIME: Duration = Duration::from_millis(200);
-/// Minimum number of targets and of different requests that failed.
+/// Minimum number of targets at which requests with a part failed.
 const MIN_FAILURES: usize = 3;
+/// The same for a part of a quarantined set, in requests without the rest of the set: a part of the set is known
+/// to crash targets, and the question is which one.
+const MIN_FAILURES_IN_SET: usize = 2;
 /// Number of targets from which a request with a part is not sent again after a failure.
 const MIN_SUSPECT_FAILURES: usize = 2;
 /// Period after a failure in which requests with the same parts are held back or not sent again.
@@ -29,6 +32,8 @@
 /// Natural logarithm of the factor by which so many failures in a row must be too many for chance, given the
 /// number of requests in which chance may produce such a row.
 const MIN_LOG_SURPRISE: f64 = 5.0;
+/// Minimum odds against chance for a part of a quarantined set, as a natural logarithm.
+const MIN_LOG_ODDS_IN_SET: f64 = 4.0;
 /// Limit for failures that are compared; older ones are dropped.
 const MAX_FAILURES: usize = 512;
 /// Limit for parts whose last answer is known.
@@ -89,7 +94,6 @@
     /// Indexes into the settled failures.
     failures: Vec<usize>,
     targets: BTreeSet<u32>,
-    subjects: BTreeSet<u32>,
     services: BTreeSet<u32>,
     first_at: Duration,
     last_at: Duration,
@@ -131,7 +135,7 @@
     fn insert(&mut self, at: Duration, mut failure: PromptFailure, is_local: bool) {
         failure.parts.truncate(MAX_PROMPT_PARTS);
         let is_known = |known: &RecordedFailure| {
-            known.failure.target == failure.target && known.failure.subject == failure.subject
+            known.failure.target == failure.target && known.failure.parts == failure.parts
         };
         if failure.parts.is_empty() || self.failures.iter().any(is_known) {
             return;
@@ -283,14 +287,13 @@
                 });
                 failures.failures.push(index);
                 failures.targets.insert(failure.target);
-                failures.subjects.insert(failure.subject);
                 failures.services.insert(failure.service);
                 failures.first_at = failures.first_at.min(known.at);
                 failures.last_at = failures.last_at.max(known.at);
             }
         }
-        let verdicts = by_part.values().filter_map(|failures| {
-            let verdict = self.weigh(&settled, failures)?;
+        let verdicts = by_part.iter().filter_map(|(part, failures)| {
+            let verdict = self.weigh(&settled, failures, quarantines.has_member(*part))?;
             Some((verdict, failures))
         });
         let (verdict, failures) = verdicts.max_by(|(a, _), (b, _)| {
@@ -303,8 +306,14 @@
         Some(CrashVerdict { parts, ..verdict })
     }
 
-    fn weigh(&self, settled: &[&RecordedFailure], failures: &PartFailures) -> Option<CrashVerdict> {
-        if failures.targets.len() < MIN_FAILURES || failures.subjects.len() < MIN_FAILURES {
+    fn weigh(
+        &self,
+        settled: &[&RecordedFailure],
+        failures: &PartFailures,
+        is_in_set: bool,
+    ) -> Option<CrashVerdict> {
+        let min_failures = if is_in_set { MIN_FAILURES_IN_SET } else { MIN_FAILURES };
+        if failures.targets.len() < min_failures {
             return None;
         }
         // Later answers to other requests say nothing about requests with the part that nobody sent.
@@ -326,7 +335,9 @@
         let log_odds = failures.targets.len() as f64 * -rate.ln();
         let requests = settled.len() as f64 + f64::from(all_answers);
         let log_surprise = log_odds - requests.ln();
-        (log_surprise >= MIN_LOG_SURPRISE).then(|| CrashVerdict {
+        let is_likely =
+            log_surprise >= MIN_LOG_SURPRISE || (is_in_set && log_odds >= MIN_LOG_ODDS_IN_SET);
+        is_likely.then(|| CrashVerdict {
             parts: PartSet::default(),
             targets: failures.targets.len(),
             other_failures,
--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -7,7 +7,6 @@
 
 use rand::RngExt;
 use tokio::sync::Notify;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::monotonic;
 use crate::gateway::followers::{FeedPacing, TableUpdate};
@@ -16,7 +15,7 @@
 use crate::gateway::load::{PromptFailure, PromptReport, service_hash};
 use crate::gateway::prompt_failures::{FailureLedger, SETTLING_TIME};
 use crate::gateway::quarantine::{PartSet, QuarantineList, QuarantineRecord, QuarantineWrite};
-use crate::gateway::request::{ForwardedRequest, TokenDemand};
+use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::VmId;
 use crate::platform::rows::{RowError, RowResult, RowTransaction};
@@ -45,15 +44,9 @@
     is_claiming_trial: Cell<bool>,
 }
 
-fn shared_ids(request: &ForwardedRequest) -> Vec<u64> {
-    let parts = request.demand.as_ref().map(TokenDemand::shared_parts).unwrap_or_default();
-    parts.iter().map(|part| part.id).collect()
-}
-
-/// Returns a hash that differs between requests, but not between attempts of a caller at the same one.
-fn subject_hash(request: &ForwardedRequest) -> u32 {
-    let last = request.demand.as_ref().and_then(|demand| demand.parts.last());
-    last.map_or(0, |part| xxh3_64(&part.id.to_be_bytes()) as u32)
+/// Returns the parts of a prompt, its own one included: a single request that is repeated may crash targets too.
+fn part_ids(request: &ForwardedRequest) -> Vec<u64> {
+    request.demand.iter().flat_map(|demand| &demand.parts).map(|part| part.id).collect()
 }
 
 impl GatewayCore {
@@ -74,24 +67,19 @@
 
     /// Records that a target ended, or broke off, before it began to answer.
     pub(crate) fn record_prompt_failure(&self, admitted: &AdmittedRequest, target: u32) {
-        let parts = shared_ids(&admitted.request);
+        let parts = part_ids(&admitted.request);
         if parts.is_empty() {
             return;
         }
-        let failure = PromptFailure {
-            target,
-            service: service_hash(&admitted.service),
-            subject: subject_hash(&admitted.request),
-            parts,
-            age_ms: 0,
-        };
+        let failure =
+            PromptFailure { target, service: service_hash(&admitted.service), parts, age_ms: 0 };
         self.prompts.ledger.borrow_mut().record_failure(monotonic(), failure);
         self.prompts.failed.notify_one();
     }
 
     /// Records that a target began to answer. Lifts the quarantine of parts that the request contains.
     pub(crate) fn record_prompt_answer(&self, admitted: &AdmittedRequest) {
-        let parts = shared_ids(&admitted.request);
+        let parts = part_ids(&admitted.request);
         if parts.is_empty() {
             return;
         }
@@ -105,7 +93,7 @@
 
     /// Returns whether requests with parts of this one failed at several targets and none was answered since.
     pub(crate) fn is_suspect(&self, request: &ForwardedRequest) -> bool {
-        self.prompts.ledger.borrow().is_suspect(monotonic(), &shared_ids(request))
+        self.prompts.ledger.borrow().is_suspect(monotonic(), &part_ids(request))
     }
 
     /// Refuses a request with quarantined parts, unless it is due as a trial.
@@ -113,7 +101,7 @@
         &self,
         admitted: &mut AdmittedRequest,
     ) -> Result<(), GatewayRefusal> {
-        let parts = shared_ids(&admitted.request);
+        let parts = part_ids(&admitted.request);
         let quarantined = self.prompts.quarantines.borrow().find(&parts).cloned();
         let Some(quarantined) = quarantined else { return Ok(()) };
         if self.claim_trial(&quarantined).await {
@@ -130,7 +118,7 @@
         if admitted.is_trial {
             std::future::pending::<()>().await;
         }
-        let parts = shared_ids(&admitted.request);
+        let parts = part_ids(&admitted.request);
         loop {
             let changed = self.prompts.changed.notified();
             if self.prompts.quarantines.borrow().is_quarantined(&parts) {
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -127,6 +127,11 @@
         self.find(prompt).is_some()
     }
 
+    /// Returns whether a part belongs to a quarantined set.
+    pub fn has_member(&self, part: u64) -> bool {
+        self.active().any(|(parts, _)| parts.parts().contains(&part))
+    }
+
     /// Returns the sets that were quarantined recently, with the time.
     pub fn recent(&self, now: Duration) -> Vec<(PartSet, Duration)> {
         let recent = self.active().filter(|(_, entry)| entry.changed_at + REPORTING_TIME >= now);
--- a/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
+++ b/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
@@ -19,6 +19,8 @@
 const JUDGE_MS: u64 = 50;
 const SERVICE: u32 = 1;
 const DEADLY_PART: u64 = 0xdead;
+/// First id of the parts that belong to one request only.
+const OWN_PARTS: u64 = 1 << 32;
 /// Time that VMs have to notice crashes.
 const STABLE_MS: u64 = 3000;
 
@@ -59,7 +61,6 @@
 struct EmulatedRequest {
     vm: usize,
     target: usize,
-    subject: u32,
     parts: Vec<u64>,
     answers_ms: u64,
 }
@@ -155,16 +156,15 @@
             let bound = self.outcome.fifth_crash_ms.map(|at| at + STABLE_MS);
             self.outcome.deadly_late += u32::from(bound.is_some_and(|bound| self.now_ms > bound));
         }
-        let subject = self.next_number();
+        parts.push(OWN_PARTS + u64::from(self.next_number()));
         let answers_ms = self.now_ms + self.random.random_range(20..100);
-        self.running.push(EmulatedRequest { vm, target, subject, parts, answers_ms });
+        self.running.push(EmulatedRequest { vm, target, parts, answers_ms });
     }
 
     fn fail(&mut self, request: &EmulatedRequest, incarnation: u32) {
         let failure = PromptFailure {
             target: incarnation,
             service: SERVICE,
-            subject: request.subject,
             parts: request.parts.clone(),
             age_ms: 0,
         };
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -214,32 +214,69 @@
     });
 }
 
+fn job_item(id: &str, parts: &[u64]) -> JobItem {
+    JobItem {
+        id: id.to_owned(),
+        path: "/night/1".to_owned(),
+        headers: Vec::new(),
+        body: b"letter".to_vec(),
+        tokens: 10,
+        demand: prompt_request(id, "/night/1", parts).demand.unwrap(),
+    }
+}
+
+fn job(items: Vec<JobItem>) -> JobSubmission {
+    JobSubmission {
+        id: "job".to_owned(),
+        host: "shop.example".to_owned(),
+        path: "/night/job".to_owned(),
+        key: Some(KeyHash::of("secret")),
+        items,
+    }
+}
+
 #[test]
 fn items_with_quarantined_part_are_held_and_others_complete() {
     run(async {
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
         quarantine_deadly_part(&site, &gateway).await;
-        let item = |id: &str, parts: &[u64]| JobItem {
-            id: id.to_owned(),
-            path: "/night/1".to_owned(),
-            headers: Vec::new(),
-            body: b"letter".to_vec(),
-            tokens: 10,
-            demand: prompt_request(id, "/night/1", parts).demand.unwrap(),
-        };
-        let submission = JobSubmission {
-            id: "job".to_owned(),
-            host: "shop.example".to_owned(),
-            path: "/night/job".to_owned(),
-            key: Some(KeyHash::of("secret")),
-            items: vec![item("deadly", &[SHARED_PART, DEADLY_PART]), item("sound", &[SHARED_PART])],
-        };
+        let items = vec![
+            job_item("deadly", &[SHARED_PART, DEADLY_PART]),
+            job_item("sound", &[SHARED_PART]),
+        ];
         let before = site.targets.seen.borrow().len();
-        gateway.submit_job(submission).await.unwrap();
+        gateway.submit_job(job(items)).await.unwrap();
         tokio::time::sleep(Duration::from_secs(5)).await;
         let seen: Vec<String> =
             site.targets.seen.borrow()[before..].iter().map(|attempt| attempt.id.clone()).collect();
         assert_eq!(seen, ["sound"]);
     });
 }
+
+// The items of one job begin with the same parts, and each is tried again.
+#[test]
+fn items_with_part_that_crashes_targets_stop_reaching_targets() {
+    run(async {
+        let site = crashing_site();
+        let gateway = site.gateway("vm1").await;
+        let items =
+            (0..8).map(|number| job_item(&format!("d{number}"), &[SHARED_PART, DEADLY_PART]));
+        gateway.submit_job(job(items.collect())).await.unwrap();
+        let (mut restarted, mut late, mut fifth_crash) = (0, 0, None);
+        for step in 0..400 {
+            let sound = prompt_request(&format!("s{step}"), "/chat/1", &[SHARED_PART]);
+            tokio::task::spawn_local(is_answered(gateway.clone(), sound));
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            let now = tokio::time::Instant::now();
+            let new = restart_crashed(&site, &mut restarted);
+            if fifth_crash.is_some_and(|at| now > at + Duration::from_secs(3)) {
+                late += new;
+            }
+            if restarted >= 5 {
+                fifth_crash = fifth_crash.or(Some(now));
+            }
+        }
+        assert!(late <= 3, "{late} items with the part, {restarted} crashes");
+    });
+}
