--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -33,6 +33,11 @@
 /// Upper bound of the delay between a change and the next feed request.
 const MAX_FEED_DELAY: Duration = Duration::from_millis(500);
 
+/// Limit for the text of an unreadable entry in a log line.
+const MAX_LOGGED_CHARS: usize = 200;
+/// Limit for unreadable entries that are not logged again.
+const MAX_UNREADABLE_ENTRIES: usize = 1024;
+
 /// How soon changes of a table must be seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FeedPacing {
@@ -227,6 +232,8 @@
     /// stay usable.
     missing: HashMap<String, Duration>,
     grace_until: Duration,
+    /// Reasons why entries could not be decoded, by key. An entry is logged again if its reason changes.
+    unreadable: HashMap<String, String>,
 }
 
 impl TargetListing {
@@ -281,12 +288,27 @@
                 self.targets.insert(row.key.clone(), target);
             }
             Err(reason) => {
-                log::warn!(target_id = row.key, version = row.version, reason = reason; "target entry unreadable");
                 self.targets.remove(&row.key);
+                self.log_unreadable(row, reason);
             }
         }
     }
 
+    fn log_unreadable(&mut self, row: &StoredRow, reason: String) {
+        if self.unreadable.get(&row.key) == Some(&reason) {
+            return;
+        }
+        let shorten = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+        log::warn!(
+            target_id = shorten(&row.key), version = row.version, reason = shorten(&reason);
+            "target entry unreadable; it names no target"
+        );
+        if self.unreadable.len() >= MAX_UNREADABLE_ENTRIES {
+            self.unreadable.clear();
+        }
+        self.unreadable.insert(row.key.clone(), reason);
+    }
+
     fn remove(&mut self, key: &str, now: Duration) {
         if now < self.grace_until && self.targets.contains_key(key) {
             self.missing.insert(key.to_owned(), self.grace_until);
