Targets: leaving, streams that end early, and copies of refusals

Three faults, in the same code of attempts:

A target that announces in its responses that it leaves was sent requests until its entry said so, for as long as the store was away. The announcement now ends them, until the target starts anew; entries that disappear and return do not.

A stream that ended with its connection inside an event was passed on as complete. It has broken off now, and is resumed where the route allows. A resumed stream has to go on with the next event; one that repeats or skips events, has no ids or ends at once does not reach the caller.

A late copy of a refusal without an id was taken for the answer to the next request on the connection, which ran: callers were told that it had not. Over a reused connection each response has to name its request, and a target that refused a request gets it again only over a new connection.

--- a/crates/ebonydock/src/gateway/connections.rs
+++ b/crates/ebonydock/src/gateway/connections.rs
@@ -67,6 +67,8 @@
 
 struct OpenConnection {
     sender: Sender,
+    /// Whether it has carried a request before.
+    is_reused: bool,
     overhead: OverheadCounter,
     _driver: DriverTask,
 }
@@ -196,6 +198,8 @@
     pub head: http::response::Parts,
     /// The body.
     pub body: PooledBody,
+    /// Whether the connection has brought another response before, of which this may be a late copy.
+    pub over_reused_connection: bool,
 }
 
 /// The body of a response. Dropping it before its end closes the connection.
@@ -243,6 +247,19 @@
                 Err((reason, None)) => return Err(SendError::Lost(reason)),
             }
         }
+        self.send_over_new(address, request).await
+    }
+
+    /// Sends a request over a new connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::send`].
+    pub async fn send_over_new(
+        &self,
+        address: SocketAddr,
+        request: http::Request<Full<bytes::Bytes>>,
+    ) -> Result<PooledResponse, SendError> {
         let connection = self.open(address).await.map_err(SendError::NotSent)?;
         self.exchange(address, connection, request).await.map_err(|(reason, unsent)| {
             if unsent.is_some() { SendError::NotSent(reason) } else { SendError::Lost(reason) }
@@ -291,7 +308,7 @@
             // An error also reaches the task that waits for the response.
             let _ = connection.await;
         });
-        Ok(OpenConnection { sender, overhead, _driver: DriverTask(driver) })
+        Ok(OpenConnection { sender, is_reused: false, overhead, _driver: DriverTask(driver) })
     }
 
     async fn exchange(
@@ -306,12 +323,13 @@
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.overhead.set(0);
+                let over_reused_connection = std::mem::replace(&mut connection.is_reused, true);
                 let (head, incoming) = response.into_parts();
                 let idle_lifetime = idle_lifetime(&head.headers);
                 let idle = Rc::clone(&self.idle);
                 let connection = Some(connection);
                 let body = PooledBody { incoming, connection, address, idle_lifetime, idle };
-                Ok(PooledResponse { head, body })
+                Ok(PooledResponse { head, body, over_reused_connection })
             }
             Err(mut error) => {
                 let unsent = error.take_message();
--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/gateway/dispatcher.rs
@@ -6,6 +6,7 @@
 //! batch work that can use the idle capacity between the peaks.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,6 +41,9 @@
 /// different targets. Smaller than one slot's fraction of a target.
 const SCORE_NOISE: f64 = 0.02;
 
+/// Time after its last announcement that a target is assumed to have stopped. Targets leave within seconds.
+const LEAVING_MEMORY: Duration = Duration::from_mins(10);
+
 /// Result of a request for a slot.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PlacementOutcome {
@@ -72,6 +76,16 @@
     sequence: u64,
     turns: TurnOrder,
     report_age: Duration,
+    /// Incarnations that announced that they are about to stop, with the time of their last announcement.
+    /// Their entries may disappear and return meanwhile.
+    leaving: HashMap<IncarnationKey, Duration>,
+}
+
+/// Id, start time in Unix milliseconds, and address.
+type IncarnationKey = (TargetId, u64, SocketAddr);
+
+fn incarnation_key(target: &ServingTarget) -> IncarnationKey {
+    (target.id.clone(), target.started_at_ms, target.address)
 }
 
 impl RequestDispatcher {
@@ -93,6 +107,7 @@
             sequence: 0,
             turns: TurnOrder::open(local_vm),
             report_age: Duration::ZERO,
+            leaving: HashMap::new(),
         }
     }
 
@@ -104,12 +119,26 @@
                 previous.remove(&target.id).filter(|slots| slots.is_same_incarnation(&target));
             let mut slots = known.unwrap_or_else(|| TargetSlots::open(target.clone(), now));
             slots.update(target, now);
+            slots.announced_leaving = self.leaving.contains_key(&incarnation_key(&slots.target));
             self.targets.insert(slots.target.id.clone(), slots);
         }
         self.update_reported_use();
         self.update_cold_start_ranks(now);
     }
 
+    /// Records that a target announced in a response that it is about to stop. It gets no more requests of
+    /// this VM. Returns whether that is new.
+    pub fn record_leaving(&mut self, now: Duration, target: &ServingTarget) -> bool {
+        self.leaving.retain(|_, announced| *announced + LEAVING_MEMORY >= now);
+        let is_new = self.leaving.insert(incarnation_key(target), now).is_none();
+        if let Some(slots) = self.targets.get_mut(&target.id)
+            && slots.is_same_incarnation(target)
+        {
+            slots.announced_leaving = true;
+        }
+        is_new
+    }
+
     fn update_cold_start_ranks(&mut self, now: Duration) {
         for slots in self.targets.values_mut().filter(|slots| slots.cold_start.is_cold(now)) {
             slots.cold_start.set_rank(self.turns.rank(slots.hash));
--- a/crates/ebonydock/src/gateway/events.rs
+++ b/crates/ebonydock/src/gateway/events.rs
@@ -64,6 +64,11 @@
     pub fn take_rest(&mut self) -> Bytes {
         std::mem::take(&mut self.buffer).freeze()
     }
+
+    /// Returns whether there are no bytes of an incomplete event.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
 }
 
 fn event_id(raw: &[u8]) -> Option<u64> {
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -19,7 +19,7 @@
 use crate::gateway::runtime::{GatewayCore, RunningCount};
 use crate::gateway::slots::SlotOutcome;
 use crate::gateway::traces::log_over_quota;
-use crate::gateway::transport::{ResponseMeaning, TargetAttempt, TargetResponse};
+use crate::gateway::transport::{ResponseMeaning, TargetAttempt, TargetBodyStream, TargetResponse};
 use crate::gateway::wait_queue::{SlotNeed, SlotRefusal};
 use crate::ids::{ServiceName, TargetId, WorkspaceId};
 use crate::scheduling::RequestClass;
@@ -155,6 +155,8 @@
     pub(crate) runs: u32,
     /// Number of attempts that certainly did not run.
     pub(crate) not_run: usize,
+    /// Targets that refused the request.
+    pub(crate) refused_by: Vec<TargetId>,
 }
 
 /// A target's response with the lease of the slot that it occupies.
@@ -276,6 +278,7 @@
                 workspace: admitted.workspace.as_ref(),
                 time_left: admitted.time_left(),
                 resume_after,
+                needs_new_connection: history.refused_by.contains(&target.id),
             };
             // Counted before sending, because a request whose future is dropped meanwhile may have run.
             history.runs += 1;
@@ -291,6 +294,9 @@
                 }
             };
             self.log_attempt(admitted, &target, history, sent_at, &outcome);
+            if let Ok(response) = &outcome {
+                self.note_leaving(&target, response);
+            }
             let incarnation = target.incarnation_hash();
             match outcome {
                 Ok(response) if response.meaning == ResponseMeaning::Ran => {
@@ -326,6 +332,7 @@
         if response.meaning != ResponseMeaning::Foreign {
             history.runs -= 1;
             history.not_run += 1;
+            history.refused_by.push(lease.target().clone());
         }
         // For a caller that waits, a full target may have room again after its backoff.
         let may_try_again = usage == SlotOutcome::Full && lease.class() == RequestClass::Online;
@@ -343,13 +350,10 @@
         mut attempt: RunningAttempt,
         history: &mut AttemptHistory,
     ) -> Result<Option<ForwardResponse>, GatewayRefusal> {
-        let first = match attempt.response.body.next().await {
-            Some(Ok(first)) => first,
-            broken => {
-                let reason = broken
-                    .map_or("the stream ended before its first event".to_owned(), |chunk| {
-                        chunk.map_or_else(|error| error.to_string(), |_| String::new())
-                    });
+        let first = match read_first_event(&mut attempt.response.body).await {
+            Ok(first) => first,
+            Err(error) => {
+                let reason = error.to_string();
                 self.log_interruption(admitted, &attempt, None, &reason);
                 self.record_prompt_failure(admitted, attempt.incarnation);
                 history.excluded.push(attempt.lease.target().clone());
@@ -373,7 +377,7 @@
             last_event: admitted.request.last_event,
             splitter: EventSplitter::default(),
             chunks,
-            has_answered: true,
+            run_has_events: true,
         };
         tokio::task::spawn_local(forwarder.run(attempt, first));
         Ok(Some(response))
@@ -465,7 +469,7 @@
                 };
             }
             lease.release(SlotOutcome::Responded);
-            chunks.finish(None).await;
+            chunks.finish().await;
         });
         ResponseBody::Chunks(receiver)
     }
@@ -483,6 +487,23 @@
     }
 }
 
+/// Reads a stream up to the end of its first event.
+async fn read_first_event(body: &mut TargetBodyStream) -> Result<Bytes, SendError> {
+    let mut splitter = EventSplitter::default();
+    let mut bytes = BytesMut::new();
+    loop {
+        let chunk = body.next().await.unwrap_or_else(|| {
+            Err(SendError::Lost("the stream ended before its first event".to_owned()))
+        })?;
+        bytes.extend_from_slice(&chunk);
+        splitter.push(&chunk);
+        let event = splitter.next_event().map_err(|error| SendError::Lost(error.to_string()))?;
+        if event.is_some() {
+            return Ok(bytes.freeze());
+        }
+    }
+}
+
 fn deadline_error() -> SendError {
     SendError::Lost("the deadline passed before the response was complete".to_owned())
 }
@@ -571,7 +592,7 @@
     splitter: EventSplitter,
     chunks: BodySender,
     /// Whether the current attempt has sent an event.
-    has_answered: bool,
+    run_has_events: bool,
 }
 
 enum StreamStep {
@@ -593,20 +614,23 @@
                     }
                 }
                 StreamStep::Chunk(None) => {
+                    if let Some(reason) = self.missing_end(&attempt) {
+                        let error = SendError::Lost(reason.to_owned());
+                        next = StreamStep::Chunk(Some(Err(error)));
+                        continue;
+                    }
                     self.release(attempt.lease, SlotOutcome::Responded, "complete");
-                    // Bytes after the last complete event.
-                    let rest = self.splitter.take_rest();
-                    return self.chunks.finish((!rest.is_empty()).then_some(rest)).await;
+                    return self.chunks.finish().await;
                 }
                 StreamStep::Chunk(Some(Err(error))) => {
                     let reason = error.to_string();
                     self.core.log_interruption(&self.admitted, &attempt, self.last_event, &reason);
                     self.history.excluded.push(attempt.lease.target().clone());
                     let RunningAttempt { response, lease, incarnation } = attempt;
-                    if !self.has_answered {
+                    if !self.run_has_events {
                         self.core.record_prompt_failure(&self.admitted, incarnation);
                     }
-                    self.has_answered = false;
+                    self.run_has_events = false;
                     // Closes the connection, which may still bring bytes.
                     drop(response);
                     lease.release(SlotOutcome::Failed);
@@ -636,6 +660,16 @@
         }
     }
 
+    /// Returns why a response that has ended is not complete. One that ends with its connection between two
+    /// events can't be told from a complete one.
+    fn missing_end(&self, attempt: &RunningAttempt) -> Option<&'static str> {
+        if !self.splitter.is_empty() {
+            return Some("the stream ended within an event");
+        }
+        let may_be_complete = self.run_has_events || attempt.response.has_explicit_end;
+        (!may_be_complete).then_some("the resumed stream ended before its first event")
+    }
+
     /// Forwards complete events. A caller that doesn't read them occupies the target until its deadline.
     ///
     /// # Errors
@@ -647,23 +681,40 @@
             StreamStep::Chunk(Some(Err(SendError::Lost(error.to_string()))))
         };
         while let Some(event) = self.splitter.next_event().map_err(broken)? {
+            if !self.run_has_events {
+                self.check_resumed_event(event.id)?;
+                self.run_has_events = true;
+                self.core.record_prompt_answer(&self.admitted);
+            }
             let queued = self.chunks.send(event.raw, self.admitted.time_left()).await;
             queued.map_err(|error| match error {
                 QueueError::CallerLeft => StreamStep::CallerLeft,
                 QueueError::DeadlinePassed => StreamStep::DeadlinePassed,
             })?;
             self.last_event = event.id.or(self.last_event);
-            if !self.has_answered {
-                self.has_answered = true;
-                self.core.record_prompt_answer(&self.admitted);
-            }
         }
         Ok(())
     }
 
+    /// Checks that a resumed response goes on after the last event that the caller received.
+    ///
+    /// # Errors
+    ///
+    /// Returns the next step if it doesn't.
+    fn check_resumed_event(&self, id: Option<u64>) -> Result<(), StreamStep> {
+        let expected = self.last_event.and_then(|last| last.checked_add(1));
+        if id.is_some() && id == expected {
+            return Ok(());
+        }
+        let reason = format!("the resumed stream begins with event {id:?} instead of {expected:?}");
+        Err(StreamStep::Chunk(Some(Err(SendError::Lost(reason)))))
+    }
+
     /// Continues the response at another target, after the last event that the caller received.
     async fn resume(&mut self) -> Option<RunningAttempt> {
         self.splitter = EventSplitter::default();
+        // Without an id, another target would begin anew.
+        self.last_event?;
         let core = Rc::clone(&self.core);
         loop {
             check_route_retry(&self.admitted, &self.history).ok()?;
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -422,6 +422,7 @@
         attempt: RunningAttempt,
     ) -> ItemRunEnd {
         let RunningAttempt { response, lease, incarnation } = attempt;
+        let has_explicit_end = response.has_explicit_end;
         let mut body = response.body;
         let mut splitter = EventSplitter::default();
         let mut last_id = None;
@@ -451,10 +452,13 @@
                         self.core.record_prompt_answer(admitted);
                     }
                 }
-                Ok(None) if splitter.take_rest().is_empty() => break ItemRunEnd::Complete,
+                // A run that brings nothing may have been cut off, unless its end is explicit.
+                Ok(None) if splitter.is_empty() && (has_answered || has_explicit_end) => {
+                    break ItemRunEnd::Complete;
+                }
                 Ok(None) => {
                     has_ended_early = true;
-                    break ItemRunEnd::Interrupted("body ended within an event".to_owned());
+                    break ItemRunEnd::Interrupted("the body ended early".to_owned());
                 }
                 Ok(Some(Err(error))) => {
                     has_ended_early = true;
--- a/crates/ebonydock/src/gateway/response_body.rs
+++ b/crates/ebonydock/src/gateway/response_body.rs
@@ -67,12 +67,9 @@
         }
     }
 
-    /// Queues the last chunk, if any, and the end of a complete body, waiting until the caller has read so far.
-    pub(crate) async fn finish(self, last: Option<Bytes>) {
+    /// Queues the end of a complete body, waiting until the caller has read so far.
+    pub(crate) async fn finish(self) {
         // Sending fails only if the caller has disconnected.
-        if let Some(last) = last {
-            let _ = self.parts.send(BodyPart::Chunk(last)).await;
-        }
         let _ = self.parts.send(BodyPart::End).await;
     }
 
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -24,7 +24,7 @@
 use crate::gateway::prompt_guard::PromptGuard;
 use crate::gateway::quota::{QuotaLedger, QuotaState};
 use crate::gateway::slots::ServingTarget;
-use crate::gateway::transport::TargetTransport;
+use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
 use crate::ids::{TargetId, VmId, WorkspaceId};
 use crate::platform::rows::RowStore;
 
@@ -169,6 +169,20 @@
         self.dispatcher.borrow().target(id).cloned()
     }
 
+    /// Stops sending requests to a target whose response announces that it is about to stop.
+    pub(crate) fn note_leaving(&self, target: &ServingTarget, response: &TargetResponse) {
+        // Another target may respond at the address of one that is gone.
+        if !response.is_leaving || response.meaning == ResponseMeaning::Misdirected {
+            return;
+        }
+        if self.dispatcher.borrow_mut().record_leaving(monotonic(), target) {
+            log::info!(
+                target_id = target.id.as_str(), started_at_ms = target.started_at_ms;
+                "target announced that it is about to stop; it gets no more requests"
+            );
+        }
+    }
+
     pub(crate) fn follow(
         self: &Rc<Self>,
         table: &'static str,
--- a/crates/ebonydock/src/gateway/slots.rs
+++ b/crates/ebonydock/src/gateway/slots.rs
@@ -78,6 +78,8 @@
     backoff_until: Duration,
     failures: u32,
     misdirected: bool,
+    /// Whether the target announced in a response that it is about to stop.
+    pub(crate) announced_leaving: bool,
 }
 
 impl TargetSlots {
@@ -94,6 +96,7 @@
             backoff_until: Duration::ZERO,
             failures: 0,
             misdirected: false,
+            announced_leaving: false,
         }
     }
 
@@ -117,7 +120,7 @@
 
     /// Returns the slots used by all VMs.
     pub(crate) fn in_use(&self) -> u32 {
-        self.online + self.batch + self.reported
+        (self.online + self.batch).saturating_add(self.reported)
     }
 
     /// Returns the slots used by no VM.
@@ -129,6 +132,7 @@
     pub(crate) fn is_in_service(&self, out_of_service: &HashSet<DataCentreId>) -> bool {
         !self.misdirected
             && !self.target.leaving
+            && !self.announced_leaving
             && !out_of_service.contains(&self.target.data_centre)
     }
 
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -205,7 +205,7 @@
         }
         Ok(ServingTarget {
             id: TargetId::from(row.key.as_str()),
-            started_at_ms: 0,
+            started_at_ms: u64::from(row.value == b"restarted"),
             service: ServiceName::from("llm"),
             address: "127.0.0.1:1".parse().map_err(|_| "address")?,
             data_centre: DataCentreId::from("a"),
@@ -233,6 +233,16 @@
     Late(Duration, u64),
     /// Sends a complete response with this status and body.
     Whole(u16, &'static str),
+    /// Sends events up to this id and the beginning of another one, then ends with the connection.
+    EndsWithinEvent(u64),
+    /// Sends a stream without any event that ends with the connection.
+    EndsAtOnce,
+    /// Sends these bytes as a stream of events.
+    Stream(String),
+    /// Sends a complete response that belongs to another request.
+    Foreign,
+    /// Responds with this status and announces that the target is about to stop.
+    Leaving(u16),
     /// Reports that the request did not run.
     NotRun,
     /// Fails without a response.
@@ -293,6 +303,8 @@
         status: StatusCode::from_u16(status).unwrap(),
         headers: Vec::new(),
         has_events: false,
+        has_explicit_end: true,
+        is_leaving: false,
         body: stream::iter(parts).boxed_local(),
     }
 }
@@ -357,6 +369,35 @@
                     ResponseMeaning::Ran,
                     vec![Ok(Bytes::from_static(body.as_bytes()))],
                 )),
+                TargetBehavior::EndsWithinEvent(to) => {
+                    let mut parts: Vec<Result<Bytes, SendError>> =
+                        (from..=to).map(|id| Ok(Bytes::from(event(id)))).collect();
+                    parts.push(Ok(Bytes::from_static(b"id: 9")));
+                    let mut response = response(200, ResponseMeaning::Ran, parts);
+                    (response.has_events, response.has_explicit_end) = (true, false);
+                    Ok(response)
+                }
+                TargetBehavior::EndsAtOnce => {
+                    let mut response = response(200, ResponseMeaning::Ran, Vec::new());
+                    (response.has_events, response.has_explicit_end) = (true, false);
+                    Ok(response)
+                }
+                TargetBehavior::Stream(text) => {
+                    let mut response =
+                        response(200, ResponseMeaning::Ran, vec![Ok(Bytes::from(text))]);
+                    response.has_events = true;
+                    Ok(response)
+                }
+                TargetBehavior::Foreign => Ok(response(200, ResponseMeaning::Foreign, Vec::new())),
+                TargetBehavior::Leaving(status) => {
+                    let meaning = match status {
+                        503 => ResponseMeaning::NotRun,
+                        421 => ResponseMeaning::Misdirected,
+                        _ => ResponseMeaning::Ran,
+                    };
+                    let body = vec![Ok(Bytes::from_static(b"whole"))];
+                    Ok(TargetResponse { is_leaving: true, ..response(status, meaning, body) })
+                }
                 TargetBehavior::Late(..) => unreachable!("replaced by Events above"),
                 TargetBehavior::NotRun => Ok(response(503, ResponseMeaning::NotRun, Vec::new())),
                 TargetBehavior::Fails(error) => Err(error),
--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -1,5 +1,6 @@
 //! Tests of requests and streams at failing targets, from the view of callers.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use ntex::util::Bytes;
@@ -7,6 +8,7 @@
 
 use crate::gateway::connections::SendError;
 use crate::gateway::forward::{ForwardResponse, GatewayRefusal, RefusalReason, ResponseBody};
+use crate::gateway::handle::Gateway;
 use crate::gateway::response_body::open_body;
 use crate::gateway::tests::catalog::config;
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, event, request, run};
@@ -398,3 +400,137 @@
         stopped.await.unwrap();
     });
 }
+
+#[parameterized(
+    not_resumable = { "/chat/1", 3, false },
+    resumable = { "/resumed/1", 6, true },
+)]
+fn stream_that_ends_within_event_has_broken_off(path: &str, last: u64, is_complete: bool) {
+    run(async move {
+        let site = FakeSite::open(FakeTargets::open(|_, before| match before {
+            0 => TargetBehavior::EndsWithinEvent(3),
+            _ => TargetBehavior::Events(6, true),
+        }));
+        let gateway = site.gateway("vm1").await;
+        let response = gateway.forward(request("r1", path)).await;
+        assert_eq!(read(response).await, (events(1..=last), is_complete));
+    });
+}
+
+// The first target breaks off after three events.
+#[parameterized(
+    server_error = { || TargetBehavior::Whole(500, "broken") },
+    not_found = { || TargetBehavior::Whole(404, "unknown") },
+    no_stream = { || TargetBehavior::Whole(200, "whole") },
+    repeated_event = { || TargetBehavior::Stream(events(3..=6)) },
+    skipped_event = { || TargetBehavior::Stream(events(5..=6)) },
+    event_without_id = { || TargetBehavior::Stream("data: piece 4\n\n".to_owned()) },
+    foreign = { || TargetBehavior::Foreign },
+    ends_at_once = { || TargetBehavior::EndsAtOnce },
+    ends_within_first_event = { || TargetBehavior::EndsWithinEvent(0) },
+    broken_connection = { || lost() },
+)]
+fn resumed_stream_contains_no_other_answer_and_does_not_look_complete(
+    next: fn() -> TargetBehavior,
+) {
+    run(async move {
+        let site = FakeSite::open(FakeTargets::open(move |_, before| match before {
+            0 => TargetBehavior::Events(3, false),
+            _ => next(),
+        }));
+        let gateway = site.gateway("vm1").await;
+        let response = gateway.forward(request("r1", "/resumed/1")).await;
+        assert_eq!(read(response).await, (events(1..=3), false));
+    });
+}
+
+#[test]
+fn stream_without_event_ids_is_not_resumed() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, before| match before {
+            0 => TargetBehavior::Stream("data: a\n\ndata:".to_owned()),
+            _ => TargetBehavior::Stream("data: a\n\ndata: b\n\n".to_owned()),
+        }));
+        let gateway = site.gateway("vm1").await;
+        let response = gateway.forward(request("r1", "/resumed/1")).await;
+        assert_eq!(read(response).await, ("data: a\n\n".to_owned(), false));
+    });
+}
+
+/// Sends requests and returns the targets that they reached.
+async fn reached_targets(site: &FakeSite, gateway: &Gateway, name: &str) -> BTreeSet<String> {
+    let before = site.targets.seen.borrow().len();
+    for id in 0..12 {
+        let _ = gateway.forward(request(&format!("{name}{id}"), "/safe/1")).await;
+    }
+    let seen = site.targets.seen.borrow();
+    seen[before..].iter().map(|attempt| attempt.target.clone()).collect()
+}
+
+#[parameterized(
+    success = { 200 },
+    error = { 500 },
+    refusal = { 503 },
+)]
+fn target_that_announced_leaving_gets_no_more_requests(status: u16) {
+    run(async move {
+        let site = FakeSite::open(FakeTargets::open(move |seen, _| match seen.target.as_str() {
+            "t1" => TargetBehavior::Leaving(status),
+            _ => TargetBehavior::Whole(200, "sent"),
+        }));
+        let gateway = site.gateway("vm1").await;
+        assert!(reached_targets(&site, &gateway, "a").await.contains("t1"));
+        assert!(!reached_targets(&site, &gateway, "b").await.contains("t1"));
+        // Its entry still says that it is ready, and disappears for a while.
+        site.store.put("targets", "t1", b"ready");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!reached_targets(&site, &gateway, "c").await.contains("t1"));
+        site.store.remove("targets", "t1");
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        site.store.put("targets", "t1", b"ready");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(!reached_targets(&site, &gateway, "d").await.contains("t1"));
+        site.store.refuses.set(true);
+        assert!(!reached_targets(&site, &gateway, "e").await.contains("t1"));
+        // It starts again under its id.
+        site.store.refuses.set(false);
+        site.store.put("targets", "t1", b"restarted");
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert!(reached_targets(&site, &gateway, "f").await.contains("t1"));
+    });
+}
+
+// Another target responds at the address of one that is gone.
+#[test]
+fn leaving_is_not_taken_from_misdirected_response() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, before| match before {
+            0 => TargetBehavior::Leaving(421),
+            _ => TargetBehavior::Whole(200, "sent"),
+        }));
+        let gateway = site.gateway("vm1").await;
+        read(gateway.forward(request("r1", "/safe/1")).await).await;
+        let first = site.targets.seen.borrow()[0].target.clone();
+        // Until it is listed anew.
+        site.store.remove("targets", &first);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        site.store.put("targets", &first, b"ready");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert!(reached_targets(&site, &gateway, "a").await.contains(&first));
+    });
+}
+
+#[test]
+fn request_is_refused_at_once_when_all_targets_announced_leaving() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Leaving(200)));
+        let gateway = site.gateway("vm1").await;
+        for id in 0..3 {
+            read(gateway.forward(request(&format!("r{id}"), "/safe/1")).await).await;
+        }
+        let began = tokio::time::Instant::now();
+        let refusal = gateway.forward(request("r4", "/safe/1")).await.err().unwrap();
+        assert_eq!(refusal.reason, RefusalReason::NoTarget);
+        assert!(began.elapsed() < Duration::from_millis(50));
+    });
+}
--- a/crates/ebonydock/src/gateway/transport.rs
+++ b/crates/ebonydock/src/gateway/transport.rs
@@ -25,6 +25,9 @@
     pub time_left: Duration,
     /// The id of the event after which the response continues, if a stream is resumed.
     pub resume_after: Option<u64>,
+    /// Whether the target refused the request before. A second copy of that refusal may arrive on the
+    /// connection that brought it.
+    pub needs_new_connection: bool,
 }
 
 /// What a response says about the attempt.
@@ -54,6 +57,11 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// Whether the body is a stream of events.
     pub has_events: bool,
+    /// Whether the body has a length or chunks, so that its end shows that it is complete. Otherwise it ends
+    /// with its connection.
+    pub has_explicit_end: bool,
+    /// Whether the target announces that it is about to stop.
+    pub is_leaving: bool,
     /// The response body.
     pub body: TargetBodyStream,
 }
