Quarantine: a part that several quarantined requests share is quarantined itself

One part of the first set is known to crash targets, so requests that share a part with the set and fail are evidence for that part, not for their own ones.

--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -293,16 +293,21 @@
             }
         }
         let verdicts = by_part.iter().filter_map(|(part, failures)| {
-            let verdict = self.weigh(&settled, failures, quarantines.has_member(*part))?;
-            Some((verdict, failures))
+            let companions = quarantines.companions(*part);
+            let verdict = self.weigh(&settled, failures, !companions.parts().is_empty())?;
+            Some((verdict, failures, companions))
         });
-        let (verdict, failures) = verdicts.max_by(|(a, _), (b, _)| {
+        let (verdict, failures, companions) = verdicts.max_by(|(a, ..), (b, ..)| {
             (a.targets, a.log_surprise)
                 .partial_cmp(&(b.targets, b.log_surprise))
                 .unwrap_or(std::cmp::Ordering::Equal)
         })?;
         let inseparable = by_part.iter().filter(|(_, other)| other.failures == failures.failures);
-        let parts = PartSet::of(inseparable.map(|(part, _)| *part));
+        // If one part of a quarantined set crashes targets, the parts outside of the set do not.
+        let is_candidate =
+            |part: &u64| companions.parts().is_empty() || companions.parts().contains(part);
+        let parts = inseparable.map(|(part, _)| *part).filter(is_candidate);
+        let parts = PartSet::of(parts);
         Some(CrashVerdict { parts, ..verdict })
     }
 
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -127,9 +127,11 @@
         self.find(prompt).is_some()
     }
 
-    /// Returns whether a part belongs to a quarantined set.
-    pub fn has_member(&self, part: u64) -> bool {
-        self.active().any(|(parts, _)| parts.parts().contains(&part))
+    /// Returns the parts of all quarantined sets that contain a part, the part included.
+    pub fn companions(&self, part: u64) -> PartSet {
+        let sets = self.active().map(|(parts, _)| parts.parts());
+        let sets = sets.filter(|parts| parts.contains(&part));
+        PartSet::of(sets.flatten().copied())
     }
 
     /// Returns the sets that were quarantined recently, with the time.
