Quarantine: callers that leave during a claim, rows of lifted quarantines, forgotten answers

From reading the change: a caller that left while the store was asked for a trial ended all trials of its VM; a row that a VM stored after the quarantine was lifted quarantined the parts again on VMs that started later; forgetting the answer to a failed part made its failures count again. While the store is away, VMs spread their attempts to store a quarantine.

--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::gateway::load::{AnswerCount, PartAnswer, PromptFailure, PromptReport};
 use crate::gateway::quarantine::{PartSet, QuarantineList};
@@ -155,9 +155,7 @@
         *self.local_counts.entry(service).or_default() += 1;
         self.answers.entry(service).or_default().add(now, 1);
         if self.answered.len() + parts.len() > MAX_ANSWERED_PARTS {
-            self.answered.retain(|_, answers| {
-                answers.newest.is_some_and(|newest| newest + REPORTING_TIME >= now)
-            });
+            self.forget_old_answers(now);
         }
         for part in parts {
             let failed = self.failures.iter().any(|known| known.failure.parts.contains(part));
@@ -170,6 +168,16 @@
         }
     }
 
+    fn forget_old_answers(&mut self, now: Duration) {
+        let failures = self.failures.iter().flat_map(|known| &known.failure.parts);
+        let failed: FxHashSet<u64> = failures.copied().collect();
+        self.answered.retain(|part, answers| {
+            let is_recent = answers.newest.is_some_and(|newest| newest + REPORTING_TIME >= now);
+            // Forgetting the answer to a failed part would make its failures count again.
+            is_recent || failed.contains(part)
+        });
+    }
+
     /// Records answers and failures that another VM reports.
     pub fn observe(
         &mut self,
@@ -185,6 +193,9 @@
             let answers = self.answered.entry(answer.part).or_default();
             answers.newest = answers.newest.max(Some(time_of(answer.age_ms)));
         }
+        if self.answered.len() > MAX_ANSWERED_PARTS {
+            self.forget_old_answers(now);
+        }
         let (known, counts) = self.peer_counts.entry(vm.clone()).or_default();
         if *known != incarnation {
             (*known, *counts) = (incarnation, FxHashMap::default());
--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -44,6 +44,22 @@
     is_claiming_trial: Cell<bool>,
 }
 
+/// Marks a VM as waiting for the permission of a trial until it is dropped, also if the caller leaves.
+struct TrialClaim<'a>(&'a Cell<bool>);
+
+impl<'a> TrialClaim<'a> {
+    fn open(is_claiming: &'a Cell<bool>) -> Self {
+        is_claiming.set(true);
+        Self(is_claiming)
+    }
+}
+
+impl Drop for TrialClaim<'_> {
+    fn drop(&mut self) {
+        self.0.set(false);
+    }
+}
+
 /// Returns the parts of a prompt, its own one included: a single request that is repeated may crash targets too.
 fn part_ids(request: &ForwardedRequest) -> Vec<u64> {
     request.demand.iter().flat_map(|demand| &demand.parts).map(|part| part.id).collect()
@@ -132,12 +148,12 @@
     async fn claim_trial(&self, parts: &PartSet) -> bool {
         let due = self.prompts.quarantines.borrow().due_trial(self.store_time(), parts);
         let Some(write) = due else { return false };
-        if self.prompts.is_claiming_trial.replace(true) {
+        if self.prompts.is_claiming_trial.get() {
             return false;
         }
+        let _claim = TrialClaim::open(&self.prompts.is_claiming_trial);
         let claimed =
             tokio::time::timeout(TRIAL_CLAIM_TIMEOUT, self.write_quarantine(&write)).await;
-        self.prompts.is_claiming_trial.set(false);
         match claimed {
             Ok(Ok(())) => true,
             Ok(Err(error)) => {
@@ -171,8 +187,12 @@
             row_version = stored.unwrap_or(0);
             "quarantine lifted: requests with its parts were answered"
         );
-        let Some(version) = stored else { return };
-        let key = parts.row_key();
+        if let Some(version) = stored {
+            self.delete_quarantine(parts.row_key(), version);
+        }
+    }
+
+    fn delete_quarantine(&self, key: String, version: u64) {
         let rows = Rc::clone(&self.rows);
         tokio::task::spawn_local(async move {
             let transaction = RowTransaction::in_partition("")
@@ -207,6 +227,10 @@
         }
         for row in rows.iter().filter(|row| !row.deleted) {
             match decode::<QuarantineRecord>(&row.value) {
+                // Another VM stored it before it learned that it was lifted.
+                Ok(record) if quarantines.is_obsolete(&record) => {
+                    self.delete_quarantine(row.key.clone(), row.version);
+                }
                 Ok(record) => {
                     let parts = record.parts.to_string();
                     if quarantines.apply_row(now, row.version, record) {
@@ -282,6 +306,11 @@
         }
     }
 
+    async fn sleep_before_save(&self) {
+        let longest = SAVE_DELAY_PER_MEMBER * self.peering.member_count() as u32;
+        tokio::time::sleep(longest.mul_f64(rand::rng().random())).await;
+    }
+
     /// Writes the quarantines that the store lacks. Returns whether all of them are stored.
     async fn save_unsaved(&self) -> bool {
         let unsaved = self.prompts.quarantines.borrow().unsaved(self.store_time());
@@ -337,10 +366,10 @@
 async fn save_quarantines(core: Rc<GatewayCore>) {
     loop {
         core.prompts.unsaved.notified().await;
-        let longest = SAVE_DELAY_PER_MEMBER * core.peering.member_count() as u32;
-        tokio::time::sleep(longest.mul_f64(rand::rng().random())).await;
+        core.sleep_before_save().await;
         while !core.save_unsaved().await {
             tokio::time::sleep(SAVE_RETRY_DELAY).await;
+            core.sleep_before_save().await;
         }
     }
 }
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -216,6 +216,12 @@
         is_new
     }
 
+    /// Returns whether the quarantine of a stored row was lifted, so that the row has to be deleted.
+    pub(crate) fn is_obsolete(&self, record: &QuarantineRecord) -> bool {
+        let entry = self.entries.get(&record.parts);
+        entry.is_some_and(|entry| entry.is_lifted && entry.revision >= record.revision)
+    }
+
     /// Lifts the quarantine whose row was deleted. Returns its parts.
     pub(crate) fn apply_deletion(&mut self, now: Duration, key: &str) -> Option<PartSet> {
         let stored =
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -9,6 +9,8 @@
 use crate::gateway::forward::{RefusalReason, ResponseBody};
 use crate::gateway::handle::Gateway;
 use crate::gateway::job_records::{JobItem, JobSubmission};
+use crate::gateway::load::PromptFailure;
+use crate::gateway::prompt_failures::FailureLedger;
 use crate::gateway::quarantine::{PartSet, QuarantineList};
 use crate::gateway::request::{ForwardedRequest, PromptPart, TokenDemand};
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, request, run};
@@ -280,3 +282,37 @@
         assert!(late <= 3, "{late} items with the part, {restarted} crashes");
     });
 }
+
+// The caller leaves while the store does not answer.
+#[test]
+fn caller_that_leaves_during_claim_does_not_end_trials() {
+    run(async {
+        let site = crashing_site();
+        let gateway = site.gateway("vm1").await;
+        quarantine_deadly_part(&site, &gateway).await;
+        tokio::time::sleep(Duration::from_secs(61)).await;
+        let before = site.targets.seen.borrow().len();
+        let trial = gateway.forward(prompt_request("leaves", "/chat/1", &[DEADLY_PART]));
+        // The store takes 4 ms for a write.
+        assert!(tokio::time::timeout(Duration::from_millis(2), trial).await.is_err());
+        let trial = gateway.forward(prompt_request("stays", "/chat/1", &[DEADLY_PART]));
+        assert_eq!(trial.await.err().map(|refusal| refusal.reason), Some(RefusalReason::Failed));
+        assert_eq!(site.targets.seen.borrow().len(), before + 1);
+    });
+}
+
+#[test]
+fn answers_of_failed_parts_are_kept_beyond_the_limit_for_answers() {
+    let mut ledger = FailureLedger::default();
+    let quarantines = QuarantineList::default();
+    let at = Duration::from_millis;
+    for target in 0..4 {
+        let failure = PromptFailure { target, service: 1, parts: vec![SHARED_PART], age_ms: 0 };
+        ledger.record_failure(at(100 * u64::from(target)), failure);
+    }
+    ledger.record_answer(at(500), 1, &[SHARED_PART]);
+    for part in 0..20_000 {
+        ledger.record_answer(at(500 + part / 2), 1, &[1 << 32 | part]);
+    }
+    assert_eq!(ledger.judge(at(12_000), &quarantines), None);
+}
