Quarantine: the smallest of several sets decides on trials, and an answer lifts all

A prompt may contain two quarantined sets, {own part, part} and {part}. Each had trials of its own, and an answer lifted only one of them.

--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -101,8 +101,8 @@
         }
         let service = service_hash(&admitted.service);
         self.prompts.ledger.borrow_mut().record_answer(monotonic(), service, &parts);
-        let quarantined = self.prompts.quarantines.borrow().find(&parts).cloned();
-        if let Some(quarantined) = quarantined {
+        let quarantined = || self.prompts.quarantines.borrow().find(&parts).cloned();
+        while let Some(quarantined) = quarantined() {
             self.lift_quarantine(&quarantined, Some(&admitted.request.id));
         }
     }
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -117,9 +117,11 @@
         self.active().count()
     }
 
-    /// Returns the quarantined set that a prompt contains.
+    /// Returns the quarantined set that a prompt contains, and the smallest of several: its trials are for all of
+    /// the prompts that contain a larger one.
     pub fn find(&self, prompt: &[u64]) -> Option<&PartSet> {
-        self.active().map(|(parts, _)| parts).find(|parts| parts.is_within(prompt))
+        let within = self.active().map(|(parts, _)| parts).filter(|parts| parts.is_within(prompt));
+        within.min_by_key(|parts| (parts.parts().len(), *parts))
     }
 
     /// Returns whether a prompt contains a quarantined set.
--- a/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
+++ b/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
@@ -18,7 +18,7 @@
 const HEARTBEAT_MS: u64 = 400;
 const JUDGE_MS: u64 = 50;
 const SERVICE: u32 = 1;
-const DEADLY_PART: u64 = 0xdead;
+const CRASHING_PART: u64 = 0xc4a5;
 /// First id of the parts that belong to one request only.
 const OWN_PARTS: u64 = 1 << 32;
 /// Time that VMs have to notice crashes.
@@ -32,8 +32,8 @@
     /// Parts that many requests share, and parts of sessions, which few requests share.
     groups: u64,
     sessions: u64,
-    /// Fraction of the requests with the deadly part.
-    deadly: f64,
+    /// Fraction of the requests with the crashing part.
+    crashing: f64,
     /// Fraction of the targets that crash each second for other reasons.
     crashes: f64,
     /// Fraction of the requests that are reset on the way.
@@ -49,7 +49,7 @@
     requests_per_s: 40.0,
     groups: 8,
     sessions: 476,
-    deadly: 0.0,
+    crashing: 0.0,
     crashes: 0.0,
     resets: 0.0,
     mass_crash_s: u64::MAX,
@@ -78,9 +78,9 @@
     sent: u32,
     answered: u32,
     sound_refused: u32,
-    deadly_sent: u32,
-    /// Deadly requests sent more than `STABLE_MS` after the fifth crash by them.
-    deadly_late: u32,
+    crashing_sent: u32,
+    /// Crashing requests sent more than `STABLE_MS` after the fifth crash by them.
+    crashing_late: u32,
     fifth_crash_ms: Option<u64>,
 }
 
@@ -94,7 +94,7 @@
     running: Vec<EmulatedRequest>,
     reports: VecDeque<(u64, VmId, PromptReport)>,
     next: u32,
-    deadly_crashes: u32,
+    crashes_by_part: u32,
     outcome: FleetOutcome,
 }
 
@@ -115,7 +115,7 @@
             running: Vec::new(),
             reports: VecDeque::new(),
             next: site.targets as u32,
-            deadly_crashes: 0,
+            crashes_by_part: 0,
             outcome: FleetOutcome::default(),
             site,
         }
@@ -133,15 +133,15 @@
     fn submit(&mut self) {
         let vm = self.random.random_range(0..self.site.vms);
         let session = self.random.random_range(0..self.site.sessions);
-        let is_deadly = self.random.random::<f64>() < self.site.deadly;
-        // All requests with the deadly part share their other parts, as in one workspace.
-        let session = if is_deadly { 7 } else { session };
+        let is_crashing = self.random.random::<f64>() < self.site.crashing;
+        // All requests with the crashing part share their other parts, as in one workspace.
+        let session = if is_crashing { 7 } else { session };
         let mut parts = vec![1 + session % self.site.groups, 1000 + session];
-        if is_deadly {
-            parts.push(DEADLY_PART);
+        if is_crashing {
+            parts.push(CRASHING_PART);
         }
         if self.vms[vm].quarantines.is_quarantined(&parts) {
-            self.outcome.sound_refused += u32::from(!is_deadly);
+            self.outcome.sound_refused += u32::from(!is_crashing);
             return;
         }
         let alive = self.targets.iter().enumerate().filter(|(_, (_, back))| *back <= self.now_ms);
@@ -151,10 +151,10 @@
         }
         let target = alive[self.random.random_range(0..alive.len())];
         self.outcome.sent += 1;
-        if is_deadly {
-            self.outcome.deadly_sent += 1;
+        if is_crashing {
+            self.outcome.crashing_sent += 1;
             let bound = self.outcome.fifth_crash_ms.map(|at| at + STABLE_MS);
-            self.outcome.deadly_late += u32::from(bound.is_some_and(|bound| self.now_ms > bound));
+            self.outcome.crashing_late += u32::from(bound.is_some_and(|bound| self.now_ms > bound));
         }
         parts.push(OWN_PARTS + u64::from(self.next_number()));
         let answers_ms = self.now_ms + self.random.random_range(20..100);
@@ -189,11 +189,11 @@
         loop {
             let due = self.running.iter().position(|request| request.answers_ms <= self.now_ms);
             let Some(due) = due else { return };
-            if self.running[due].parts.contains(&DEADLY_PART) {
+            if self.running[due].parts.contains(&CRASHING_PART) {
                 let target = self.running[due].target;
                 self.crash(target);
-                self.deadly_crashes += 1;
-                if self.deadly_crashes == 5 {
+                self.crashes_by_part += 1;
+                if self.crashes_by_part == 5 {
                     self.outcome.fifth_crash_ms = Some(self.now_ms);
                 }
                 continue;
@@ -288,16 +288,16 @@
 }
 
 #[parameterized(
-    small = { PromptSite { deadly: 0.05, ..SMALL }, 8, 30 },
-    rare = { PromptSite { deadly: 0.01, ..SMALL }, 8, 30 },
-    beside_crashes = { PromptSite { deadly: 0.05, crashes: 0.05, resets: 0.03, ..SMALL }, 8, 30 },
-    lost_reports = { PromptSite { deadly: 0.05, lost_reports: 0.5, ..SMALL }, 8, 30 },
-    large = { PromptSite { deadly: 0.05, ..LARGE }, 1, 10 },
+    small = { PromptSite { crashing: 0.05, ..SMALL }, 8, 30 },
+    rare = { PromptSite { crashing: 0.01, ..SMALL }, 8, 30 },
+    beside_crashes = { PromptSite { crashing: 0.05, crashes: 0.05, resets: 0.03, ..SMALL }, 8, 30 },
+    lost_reports = { PromptSite { crashing: 0.05, lost_reports: 0.5, ..SMALL }, 8, 30 },
+    large = { PromptSite { crashing: 0.05, ..LARGE }, 1, 10 },
 )]
 fn part_that_crashes_targets_is_quarantined_in_time(site: PromptSite, seeds: u64, seconds: u64) {
     for seed in 0..seeds {
         let outcome = PromptFleet::open(site, seed).run(seconds);
-        assert!(outcome.deadly_late <= 3, "seed {seed}: {outcome:?}");
+        assert!(outcome.crashing_late <= 3, "seed {seed}: {outcome:?}");
         assert_eq!(outcome.sound_refused, 0, "seed {seed}: {outcome:?}");
     }
 }
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -15,7 +15,7 @@
 use crate::gateway::request::{ForwardedRequest, PromptPart, TokenDemand};
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, request, run};
 
-const DEADLY_PART: u64 = 0xdead;
+const CRASHING_PART: u64 = 0xc4a5;
 const SHARED_PART: u64 = 0x5a;
 
 fn prompt_request(id: &str, path: &str, parts: &[u64]) -> ForwardedRequest {
@@ -25,10 +25,10 @@
     ForwardedRequest { demand: Some(demand), ..request(id, path) }
 }
 
-/// Targets that end without an answer when a request with the deadly part reaches them, and start again.
+/// Targets that end without an answer when a request with the crashing part reaches them, and start again.
 fn crashing_site() -> FakeSite {
     let targets = FakeTargets::open(|seen, _| {
-        if seen.parts.contains(&DEADLY_PART) {
+        if seen.parts.contains(&CRASHING_PART) {
             TargetBehavior::Fails(SendError::Lost("reset".to_owned()))
         } else {
             TargetBehavior::Events(3, true)
@@ -41,8 +41,8 @@
 fn restart_crashed(site: &FakeSite, restarted: &mut usize) -> usize {
     let crashed: Vec<String> = {
         let seen = site.targets.seen.borrow();
-        let deadly = seen.iter().filter(|attempt| attempt.parts.contains(&DEADLY_PART));
-        deadly.map(|attempt| attempt.target.clone()).collect()
+        let crashing = seen.iter().filter(|attempt| attempt.parts.contains(&CRASHING_PART));
+        crashing.map(|attempt| attempt.target.clone()).collect()
     };
     let new = &crashed[*restarted..];
     for (index, target) in new.iter().enumerate() {
@@ -72,9 +72,9 @@
         let mut fifth_crash = None;
         let (mut crashes, mut late) = (0, 0);
         for step in 0..400 {
-            let is_deadly = step % 8 == 7;
+            let is_crashing = step % 8 == 7;
             let parts: &[u64] =
-                if is_deadly { &[SHARED_PART, DEADLY_PART] } else { &[SHARED_PART] };
+                if is_crashing { &[SHARED_PART, CRASHING_PART] } else { &[SHARED_PART] };
             let request = prompt_request(&format!("r{step}"), "/chat/1", parts);
             let (gateway, served) = (gateway.clone(), Rc::clone(&served));
             tokio::task::spawn_local(async move {
@@ -96,12 +96,12 @@
     });
 }
 
-/// Sends requests until those with the deadly part are refused.
-async fn quarantine_deadly_part(site: &FakeSite, gateway: &Gateway) {
+/// Sends requests until those with the crashing part are refused.
+async fn quarantine_crashing_part(site: &FakeSite, gateway: &Gateway) {
     let mut crashes = 0;
     for step in 0..100 {
         let parts: &[u64] =
-            if step % 8 == 7 { &[SHARED_PART, DEADLY_PART] } else { &[SHARED_PART] };
+            if step % 8 == 7 { &[SHARED_PART, CRASHING_PART] } else { &[SHARED_PART] };
         let request = prompt_request(&format!("q{step}"), "/chat/1", parts);
         let refusal = gateway.forward(request).await.err();
         if refusal.is_some_and(|refusal| refusal.reason == RefusalReason::Quarantined) {
@@ -121,10 +121,10 @@
     run(async {
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
-        quarantine_deadly_part(&site, &gateway).await;
+        quarantine_crashing_part(&site, &gateway).await;
         let later = site.gateway("vm2").await;
         let before = site.targets.seen.borrow().len();
-        let refusal = later.forward(prompt_request("late", "/chat/1", &[DEADLY_PART])).await;
+        let refusal = later.forward(prompt_request("late", "/chat/1", &[CRASHING_PART])).await;
         assert_eq!(refusal.err().map(|refusal| refusal.reason), Some(RefusalReason::Quarantined));
         assert_eq!(site.targets.seen.borrow().len(), before);
         let sound = later.forward(prompt_request("sound", "/chat/1", &[SHARED_PART])).await;
@@ -138,7 +138,7 @@
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
         site.store.refuses.set(true);
-        quarantine_deadly_part(&site, &gateway).await;
+        quarantine_crashing_part(&site, &gateway).await;
         assert!(site.store.keys("gateway_quarantines").is_empty());
         site.store.refuses.set(false);
         tokio::time::sleep(Duration::from_secs(2)).await;
@@ -152,14 +152,15 @@
     run(async {
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
-        quarantine_deadly_part(&site, &gateway).await;
+        quarantine_crashing_part(&site, &gateway).await;
         let other = site.gateway("vm2").await;
         let began = tokio::time::Instant::now();
         let mut trials = Vec::new();
         let mut known = site.targets.seen.borrow().len();
         for step in 0..60 {
             for (vm, gateway) in [("a", &gateway), ("b", &other)] {
-                let request = prompt_request(&format!("{vm}{step}"), "/resumed/1", &[DEADLY_PART]);
+                let request =
+                    prompt_request(&format!("{vm}{step}"), "/resumed/1", &[CRASHING_PART]);
                 assert!(gateway.forward(request).await.is_err());
             }
             let sent = site.targets.seen.borrow().len() - known;
@@ -173,7 +174,7 @@
 
 #[test]
 fn trials_of_quarantined_part_end_after_three() {
-    let parts = PartSet::of([DEADLY_PART]);
+    let parts = PartSet::of([CRASHING_PART]);
     let mut list = QuarantineList::default();
     list.add(Duration::ZERO, &parts);
     let write = list.unsaved(Duration::ZERO).remove(0);
@@ -195,22 +196,24 @@
         let is_mended = Rc::new(Cell::new(false));
         let mended = Rc::clone(&is_mended);
         let site = FakeSite::open(FakeTargets::open(move |seen, _| {
-            if seen.parts.contains(&DEADLY_PART) && !mended.get() {
+            if seen.parts.contains(&CRASHING_PART) && !mended.get() {
                 TargetBehavior::Fails(SendError::Lost("reset".to_owned()))
             } else {
                 TargetBehavior::Events(3, true)
             }
         }));
         let gateway = site.gateway("vm1").await;
-        quarantine_deadly_part(&site, &gateway).await;
+        quarantine_crashing_part(&site, &gateway).await;
         let other = site.gateway("vm2").await;
         is_mended.set(true);
         tokio::time::sleep(Duration::from_secs(61)).await;
-        assert!(gateway.forward(prompt_request("trial", "/chat/1", &[DEADLY_PART])).await.is_ok());
+        assert!(
+            gateway.forward(prompt_request("trial", "/chat/1", &[CRASHING_PART])).await.is_ok()
+        );
         tokio::time::sleep(Duration::from_secs(1)).await;
         assert!(site.store.keys("gateway_quarantines").is_empty());
         for gateway in [&gateway, &other] {
-            let request = prompt_request("sound", "/chat/1", &[DEADLY_PART]);
+            let request = prompt_request("sound", "/chat/1", &[CRASHING_PART]);
             assert!(gateway.forward(request).await.is_ok());
         }
     });
@@ -242,9 +245,9 @@
     run(async {
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
-        quarantine_deadly_part(&site, &gateway).await;
+        quarantine_crashing_part(&site, &gateway).await;
         let items = vec![
-            job_item("deadly", &[SHARED_PART, DEADLY_PART]),
+            job_item("crashing", &[SHARED_PART, CRASHING_PART]),
             job_item("sound", &[SHARED_PART]),
         ];
         let before = site.targets.seen.borrow().len();
@@ -263,7 +266,7 @@
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
         let items =
-            (0..8).map(|number| job_item(&format!("d{number}"), &[SHARED_PART, DEADLY_PART]));
+            (0..8).map(|number| job_item(&format!("d{number}"), &[SHARED_PART, CRASHING_PART]));
         gateway.submit_job(job(items.collect())).await.unwrap();
         let (mut restarted, mut late, mut fifth_crash) = (0, 0, None);
         for step in 0..400 {
@@ -289,13 +292,13 @@
     run(async {
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
-        quarantine_deadly_part(&site, &gateway).await;
+        quarantine_crashing_part(&site, &gateway).await;
         tokio::time::sleep(Duration::from_secs(61)).await;
         let before = site.targets.seen.borrow().len();
-        let trial = gateway.forward(prompt_request("leaves", "/chat/1", &[DEADLY_PART]));
+        let trial = gateway.forward(prompt_request("leaves", "/chat/1", &[CRASHING_PART]));
         // The store takes 4 ms for a write.
         assert!(tokio::time::timeout(Duration::from_millis(2), trial).await.is_err());
-        let trial = gateway.forward(prompt_request("stays", "/chat/1", &[DEADLY_PART]));
+        let trial = gateway.forward(prompt_request("stays", "/chat/1", &[CRASHING_PART]));
         assert_eq!(trial.await.err().map(|refusal| refusal.reason), Some(RefusalReason::Failed));
         assert_eq!(site.targets.seen.borrow().len(), before + 1);
     });
@@ -316,3 +319,15 @@
     }
     assert_eq!(ledger.judge(at(12_000), &quarantines), None);
 }
+
+#[test]
+fn trials_of_overlapping_quarantines_are_those_of_the_smallest() {
+    let mut list = QuarantineList::default();
+    let (larger, smaller) = (PartSet::of([CRASHING_PART, 7]), PartSet::of([CRASHING_PART]));
+    list.add(Duration::ZERO, &larger);
+    list.add(Duration::from_secs(1), &smaller);
+    assert_eq!(list.find(&[7, CRASHING_PART, 9]), Some(&smaller));
+    list.lift(Duration::from_secs(2), &smaller);
+    assert_eq!(list.find(&[7, CRASHING_PART, 9]), Some(&larger));
+    assert_eq!(list.find(&[CRASHING_PART, 9]), None);
+}
