Streams: events may end with carriage returns; items check for suspicion before a trial

Reading the first event before a response starts would have refused streams whose blank lines are CR LF; they were passed on in one piece at their end before. An item that is suspect no longer uses up the permission for a trial.

--- a/crates/ebonydock/src/gateway/events.rs
+++ b/crates/ebonydock/src/gateway/events.rs
@@ -4,7 +4,8 @@
 
 /// Limit for one event. Engines send a few tokens in an event; bytes beyond this are no event.
 pub const MAX_EVENT_BYTES: usize = 64 * 1024;
-const EVENT_END: &[u8] = b"\n\n";
+/// Blank lines that end an event.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\r\n\r\n"];
 const ID_FIELD: &[u8] = b"id:";
 const DATA_FIELD: &[u8] = b"data:";
 
@@ -21,6 +22,7 @@
     /// Returns the data lines of the event, joined by line feeds.
     pub fn data(&self) -> Vec<u8> {
         let lines = self.raw.split(|byte| *byte == b'\n');
+        let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
         let data = lines.filter_map(|line| line.strip_prefix(DATA_FIELD));
         let data: Vec<&[u8]> = data.map(|data| data.strip_prefix(b" ").unwrap_or(data)).collect();
         data.join(&b'\n')
@@ -50,12 +52,16 @@
     ///
     /// Fails if the event is too large, complete or not.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, OversizedEvent> {
-        let end = self.buffer.windows(EVENT_END.len()).position(|window| window == EVENT_END);
-        if end.unwrap_or(self.buffer.len()) > MAX_EVENT_BYTES {
+        let end = EVENT_ENDS.iter().filter_map(|blank| {
+            let at = self.buffer.windows(blank.len()).position(|window| window == *blank)?;
+            Some((at, blank.len()))
+        });
+        let end = end.min();
+        if end.map_or(self.buffer.len(), |(at, _)| at) > MAX_EVENT_BYTES {
             return Err(OversizedEvent);
         }
-        let Some(end) = end else { return Ok(None) };
-        let raw = self.buffer.split_to(end + EVENT_END.len());
+        let Some((at, length)) = end else { return Ok(None) };
+        let raw = self.buffer.split_to(at + length);
         let id = event_id(&raw);
         Ok(Some(StreamEvent { raw, id }))
     }
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -309,8 +309,9 @@
                 tokio::time::sleep(ITEM_RETRY_DELAY).await;
                 continue;
             };
-            if self.core.check_quarantine(&mut admitted).await.is_err()
-                || self.core.is_suspect(&admitted.request)
+            // In this order, because the check may use up a trial.
+            if self.core.is_suspect(&admitted.request)
+                || self.core.check_quarantine(&mut admitted).await.is_err()
             {
                 tokio::time::sleep(QUARANTINE_POLL_INTERVAL).await;
                 continue;
--- a/crates/ebonydock/src/gateway/tests/decisions.rs
+++ b/crates/ebonydock/src/gateway/tests/decisions.rs
@@ -120,3 +120,17 @@
     assert_eq!(splitter.next_event(), Err(OversizedEvent));
     assert!(pushed <= MAX_EVENT_BYTES + 1000);
 }
+
+#[test]
+fn events_may_end_with_carriage_returns() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\r\ndata: a\r\ndata: b\r\n\r\nid: 2\ndata: c\n\nid: 3\r\n\r");
+    let first = splitter.next_event().unwrap().unwrap();
+    assert_eq!((first.id, first.data()), (Some(1), b"a\nb".to_vec()));
+    assert_eq!(first.raw, Bytes::from_static(b"id: 1\r\ndata: a\r\ndata: b\r\n\r\n"));
+    let second = splitter.next_event().unwrap().unwrap();
+    assert_eq!((second.id, second.data()), (Some(2), b"c".to_vec()));
+    assert_eq!(splitter.next_event().unwrap(), None);
+    splitter.push(b"\n");
+    assert_eq!(splitter.next_event().unwrap().and_then(|event| event.id), Some(3));
+}
