--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -17,6 +17,8 @@
 
 const CRASHING_PART: u64 = 0xc4a5;
 const SHARED_PART: u64 = 0x5a;
+/// Time that VMs have to notice crashes.
+const STABLE_TIME: Duration = Duration::from_secs(3);
 
 fn prompt_request(id: &str, path: &str, parts: &[u64]) -> ForwardedRequest {
     let own_part = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
@@ -37,20 +39,34 @@
     FakeSite::open(targets)
 }
 
-/// Registers targets that crashed under new ids, as targets do that start again.
-fn restart_crashed(site: &FakeSite, restarted: &mut usize) -> usize {
-    let crashed: Vec<String> = {
-        let seen = site.targets.seen.borrow();
-        let crashing = seen.iter().filter(|attempt| attempt.parts.contains(&CRASHING_PART));
-        crashing.map(|attempt| attempt.target.clone()).collect()
-    };
-    let new = &crashed[*restarted..];
-    for (index, target) in new.iter().enumerate() {
-        site.store.remove("targets", target);
-        site.store.put("targets", &format!("s{}", *restarted + index), b"ready");
+/// Crashes by requests with the crashing part.
+#[derive(Default)]
+struct CrashLog {
+    crashes: usize,
+    fifth_at: Option<tokio::time::Instant>,
+    /// Crashes later than [`STABLE_TIME`] after the fifth one.
+    late: usize,
+}
+
+impl CrashLog {
+    /// Counts new crashes. Registers their targets under new ids, as targets do that start again.
+    fn update(&mut self, site: &FakeSite) {
+        let now = tokio::time::Instant::now();
+        let crashed: Vec<String> = {
+            let seen = site.targets.seen.borrow();
+            let crashing = seen.iter().filter(|attempt| attempt.parts.contains(&CRASHING_PART));
+            crashing.map(|attempt| attempt.target.clone()).collect()
+        };
+        for target in &crashed[self.crashes..] {
+            site.store.remove("targets", target);
+            site.store.put("targets", &format!("s{}", self.crashes), b"ready");
+            self.crashes += 1;
+            self.late += usize::from(self.fifth_at.is_some_and(|at| now > at + STABLE_TIME));
+        }
+        if self.crashes >= 5 {
+            self.fifth_at = self.fifth_at.or(Some(now));
+        }
     }
-    *restarted = crashed.len();
-    new.len()
 }
 
 /// Reads the response of a request, and returns whether it began.
@@ -69,8 +85,7 @@
         let site = crashing_site();
         let gateway = site.gateway("vm1").await;
         let served = Rc::new(Cell::new(0));
-        let mut fifth_crash = None;
-        let (mut crashes, mut late) = (0, 0);
+        let mut crashes = CrashLog::default();
         for step in 0..400 {
             let is_crashing = step % 8 == 7;
             let parts: &[u64] =
@@ -81,16 +96,10 @@
                 served.set(served.get() + u32::from(is_answered(gateway, request).await));
             });
             tokio::time::sleep(Duration::from_millis(40)).await;
-            let now = tokio::time::Instant::now();
-            let new = restart_crashed(&site, &mut crashes);
-            if fifth_crash.is_some_and(|at| now > at + Duration::from_secs(3)) {
-                late += new;
-            }
-            if crashes >= 5 {
-                fifth_crash = fifth_crash.or(Some(now));
-            }
+            crashes.update(&site);
         }
         tokio::time::sleep(Duration::from_secs(1)).await;
+        let CrashLog { crashes, late, .. } = crashes;
         assert!(late <= 3, "{late} requests with the part, {crashes} crashes");
         assert!(served.get() >= 347, "{} of 350 sound requests were served", served.get());
     });
@@ -98,7 +107,7 @@
 
 /// Sends requests until those with the crashing part are refused.
 async fn quarantine_crashing_part(site: &FakeSite, gateway: &Gateway) {
-    let mut crashes = 0;
+    let mut crashes = CrashLog::default();
     for step in 0..100 {
         let parts: &[u64] =
             if step % 8 == 7 { &[SHARED_PART, CRASHING_PART] } else { &[SHARED_PART] };
@@ -110,9 +119,9 @@
             return;
         }
         tokio::time::sleep(Duration::from_millis(40)).await;
-        restart_crashed(site, &mut crashes);
+        crashes.update(site);
     }
-    panic!("not quarantined after {crashes} crashes");
+    panic!("not quarantined after {} crashes", crashes.crashes);
 }
 
 // The second VM hears of the quarantine from the store only.
@@ -268,21 +277,15 @@
         let items =
             (0..8).map(|number| job_item(&format!("d{number}"), &[SHARED_PART, CRASHING_PART]));
         gateway.submit_job(job(items.collect())).await.unwrap();
-        let (mut restarted, mut late, mut fifth_crash) = (0, 0, None);
+        let mut crashes = CrashLog::default();
         for step in 0..400 {
             let sound = prompt_request(&format!("s{step}"), "/chat/1", &[SHARED_PART]);
             tokio::task::spawn_local(is_answered(gateway.clone(), sound));
             tokio::time::sleep(Duration::from_millis(40)).await;
-            let now = tokio::time::Instant::now();
-            let new = restart_crashed(&site, &mut restarted);
-            if fifth_crash.is_some_and(|at| now > at + Duration::from_secs(3)) {
-                late += new;
-            }
-            if restarted >= 5 {
-                fifth_crash = fifth_crash.or(Some(now));
-            }
+            crashes.update(&site);
         }
-        assert!(late <= 3, "{late} items with the part, {restarted} crashes");
+        let CrashLog { crashes, late, .. } = crashes;
+        assert!(late <= 3, "{late} items with the part, {crashes} crashes");
     });
 }
 
