--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -297,6 +297,7 @@
 
     /// Runs the item until it completes or is given up, over any number of attempts.
     async fn finish(self) -> ItemOutcome {
+        let mut is_held = false;
         loop {
             let keep_until = self.core.local_time(self.head.keep_until);
             if monotonic() >= keep_until {
@@ -313,9 +314,16 @@
             if self.core.is_suspect(&admitted.request)
                 || self.core.check_quarantine(&mut admitted).await.is_err()
             {
+                if !std::mem::replace(&mut is_held, true) {
+                    log::info!(
+                        job = self.job.as_str(), item = self.item().id;
+                        "item held: its prompt may crash targets"
+                    );
+                }
                 tokio::time::sleep(QUARANTINE_POLL_INTERVAL).await;
                 continue;
             }
+            is_held = false;
             let max_failures = admitted.route.max_attempts;
             let last_event = self.with_partial(|partial| partial.last_event);
             let mut history = AttemptHistory::default();
