Quarantine: memory for answers and unreadable entries is bounded under any input

Callers could make a VM store every part of every prompt that was answered in the last 3 s: prompts may list about 1000 parts in 16 KB, and the limit of 8192 parts spared recent ones. An entry with a wrong value of 64 KB was kept in full with its reason, for up to 1024 entries.

Cause: the limit was checked against age, not size. Now at most 16 parts of a prompt are stored, as for failures, and recent answers are dropped beyond the limit, but for parts that failed; keys and reasons are shortened before they are stored.

--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -289,24 +289,25 @@
             }
             Err(reason) => {
                 self.targets.remove(&row.key);
-                self.log_unreadable(row, reason);
+                self.log_unreadable(row, &reason);
             }
         }
     }
 
-    fn log_unreadable(&mut self, row: &StoredRow, reason: String) {
-        if self.unreadable.get(&row.key) == Some(&reason) {
+    fn log_unreadable(&mut self, row: &StoredRow, reason: &str) {
+        let shorten = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
+        let (key, reason) = (shorten(&row.key), shorten(reason));
+        if self.unreadable.get(&key) == Some(&reason) {
             return;
         }
-        let shorten = |text: &str| text.chars().take(MAX_LOGGED_CHARS).collect::<String>();
         log::warn!(
-            target_id = shorten(&row.key), version = row.version, reason = shorten(&reason);
+            target_id = key, version = row.version, reason = reason;
             "target entry unreadable; it names no target"
         );
         if self.unreadable.len() >= MAX_UNREADABLE_ENTRIES {
             self.unreadable.clear();
         }
-        self.unreadable.insert(row.key.clone(), reason);
+        self.unreadable.insert(key, reason);
     }
 
     fn remove(&mut self, key: &str, now: Duration) {
--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -152,6 +152,7 @@
 
     /// Records that a target began to answer a request of this VM.
     pub fn record_answer(&mut self, now: Duration, service: u32, parts: &[u64]) {
+        let parts = &parts[..parts.len().min(MAX_PROMPT_PARTS)];
         *self.local_counts.entry(service).or_default() += 1;
         self.answers.entry(service).or_default().add(now, 1);
         if self.answered.len() + parts.len() > MAX_ANSWERED_PARTS {
@@ -176,6 +177,15 @@
             // Forgetting the answer to a failed part would make its failures count again.
             is_recent || failed.contains(part)
         });
+        if self.answered.len() > MAX_ANSWERED_PARTS - MAX_PROMPT_PARTS {
+            self.answered.retain(|part, _| failed.contains(part));
+        }
+    }
+
+    /// Returns the number of parts whose last answer is known.
+    #[cfg(test)]
+    pub(crate) fn answered_parts(&self) -> usize {
+        self.answered.len()
     }
 
     /// Records answers and failures that another VM reports.
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -334,3 +334,15 @@
     assert_eq!(list.find(&[7, CRASHING_PART, 9]), Some(&larger));
     assert_eq!(list.find(&[CRASHING_PART, 9]), None);
 }
+
+// Callers choose the parts of their prompts.
+#[test]
+fn memory_of_answers_is_bounded_under_new_parts() {
+    let mut ledger = FailureLedger::default();
+    let now = Duration::from_secs(5);
+    for request in 0..2000 {
+        let parts: Vec<u64> = (0..1000).map(|part| request * 1000 + part).collect();
+        ledger.record_answer(now, 1, &parts);
+        assert!(ledger.answered_parts() <= 8192, "{}", ledger.answered_parts());
+    }
+}
