Quarantine: repeated to VMs that are heard again

A VM that was cut off, or stood still, while a part was quarantined could send it on: changes were reported for 3 s, and the row reaches it only through a feed that may wait 8 s and whose connection may have fallen silent.

Cause: reports repeat a change for a time after the change, whoever hears it. Now VMs that hear another VM anew report all quarantines for 3 s again, 8 of the fleet on the mean, so that no VM has to be told by all. Without quarantines nothing is added.

--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -26,6 +26,8 @@
 /// Upper bound, for each member, of the delay before a quarantine is written. All VMs reach the same verdict,
 /// and one row is enough.
 const SAVE_DELAY_PER_MEMBER: Duration = Duration::from_millis(20);
+/// Mean number of VMs that repeat their quarantines when a VM is heard again.
+const REPEATING_VMS: f64 = 8.0;
 const SAVE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Limit for the time that a caller waits for the store to permit a trial.
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
@@ -269,6 +271,15 @@
         }
     }
 
+    /// Reports all quarantines again if another VM may have missed them. A few VMs of the fleet do, chosen at
+    /// random by each of them.
+    pub(crate) fn repeat_quarantines(&self) {
+        let share = REPEATING_VMS / self.peering.member_count() as f64;
+        if rand::rng().random::<f64>() < share {
+            self.prompts.quarantines.borrow_mut().repeat(monotonic());
+        }
+    }
+
     /// Returns what other VMs have to know of failures and quarantines; `None` if nothing.
     pub(crate) fn prompt_report(&self, now: Duration) -> Option<Box<PromptReport>> {
         let mut report = self.prompts.ledger.borrow().report(now);
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -105,6 +105,8 @@
 #[derive(Debug, Default)]
 pub struct QuarantineList {
     entries: HashMap<PartSet, QuarantineEntry>,
+    /// Until when all quarantines are reported, because another VM may have missed them.
+    repeat_until: Duration,
 }
 
 impl QuarantineList {
@@ -184,12 +186,19 @@
         self.set(now, &parts, reported.revision, reported.is_lifted)
     }
 
+    /// Reports all quarantines again for a while: another VM is heard that was not before, and may have missed
+    /// them while it was cut off, stood still or was not running.
+    pub fn repeat(&mut self, now: Duration) {
+        self.repeat_until = now + REPORTING_TIME;
+    }
+
     /// Returns the changes that other VMs may not know yet.
     pub fn report(&self, now: Duration) -> Vec<ReportedQuarantine> {
-        let unknown = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.changed_at + REPORTING_TIME >= now || entry.is_unsaved());
+        let is_repeated = now < self.repeat_until;
+        let unknown = self.entries.iter().filter(|(_, entry)| {
+            let is_recent = entry.changed_at + REPORTING_TIME >= now;
+            is_recent || entry.is_unsaved() || (is_repeated && !entry.is_lifted)
+        });
         let mut newest: Vec<_> = unknown.collect();
         newest.sort_unstable_by_key(|(parts, entry)| (std::cmp::Reverse(entry.changed_at), *parts));
         let newest = newest.into_iter().take(MAX_REPORTED_QUARANTINES);
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -290,7 +290,12 @@
     /// Applies load reports of other VMs.
     pub(crate) fn apply_reports(self: &Rc<Self>, reports: &[(VmId, LoadReport)]) {
         let now = monotonic();
+        let is_new_contact = |vm: &VmId| !self.dispatcher.borrow().is_live(vm);
+        let has_new_contact = reports.iter().any(|(vm, _)| is_new_contact(vm));
         let new_reports = self.dispatcher.borrow_mut().observe(now, reports);
+        if has_new_contact {
+            self.repeat_quarantines();
+        }
         if new_reports.is_empty() {
             return;
         }
--- a/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
+++ b/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
@@ -1,7 +1,7 @@
 //! Emulated fleets whose targets crash, for many reasons or because of one prompt part. VMs exchange load
 //! reports that are late or lost. Time advances in ticks.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
@@ -21,6 +21,8 @@
 const CRASHING_PART: u64 = 0xc4a5;
 /// First id of the parts that belong to one request only.
 const OWN_PARTS: u64 = 1 << 32;
+/// Time after which a VM that is not heard counts as lost.
+const LOST_AFTER_MS: u64 = 1500;
 /// Time that VMs have to notice crashes.
 const STABLE_MS: u64 = 3000;
 
@@ -41,6 +43,8 @@
     /// Every so many seconds, a third of the targets crashes at once.
     mass_crash_s: u64,
     lost_reports: f64,
+    /// Period in milliseconds in which the first VM hears no other one and is not heard.
+    cut_ms: (u64, u64),
 }
 
 const SMALL: PromptSite = PromptSite {
@@ -54,6 +58,7 @@
     resets: 0.0,
     mass_crash_s: u64::MAX,
     lost_reports: 0.05,
+    cut_ms: (0, 0),
 };
 const LARGE: PromptSite =
     PromptSite { vms: 195, targets: 78, requests_per_s: 330.0, sessions: 1659, ..SMALL };
@@ -71,6 +76,8 @@
     quarantines: QuarantineList,
     last: LoadReport,
     last_ms: u64,
+    /// When each VM was last heard.
+    heard_ms: HashMap<VmId, u64>,
 }
 
 #[derive(Debug, Default)]
@@ -92,7 +99,7 @@
     /// Incarnation of each target, and when it is back.
     targets: Vec<(u32, u64)>,
     running: Vec<EmulatedRequest>,
-    reports: VecDeque<(u64, VmId, PromptReport)>,
+    reports: VecDeque<(u64, usize, PromptReport)>,
     next: u32,
     crashes_by_part: u32,
     outcome: FleetOutcome,
@@ -106,6 +113,7 @@
             quarantines: QuarantineList::default(),
             last: LoadReport::default(),
             last_ms: 0,
+            heard_ms: HashMap::new(),
         });
         Self {
             random: StdRng::seed_from_u64(seed),
@@ -153,7 +161,10 @@
         self.outcome.sent += 1;
         if is_crashing {
             self.outcome.crashing_sent += 1;
-            let bound = self.outcome.fifth_crash_ms.map(|at| at + STABLE_MS);
+            let (_, healed_ms) = self.site.cut_ms;
+            let fifth = self.outcome.fifth_crash_ms;
+            let steady = fifth.map(|at| if vm == 0 { at.max(healed_ms) } else { at });
+            let bound = steady.map(|at| at + STABLE_MS);
             self.outcome.crashing_late += u32::from(bound.is_some_and(|bound| self.now_ms > bound));
         }
         parts.push(OWN_PARTS + u64::from(self.next_number()));
@@ -224,7 +235,7 @@
 
     fn exchange_reports(&mut self) {
         let now = self.now();
-        for vm in &mut self.vms {
+        for (number, vm) in self.vms.iter_mut().enumerate() {
             let mut prompts = vm.ledger.report(now);
             prompts.quarantines = vm.quarantines.report(now);
             let prompts = (prompts != PromptReport::default()).then(|| Box::new(prompts));
@@ -232,18 +243,24 @@
             if !has_changes(&report, &vm.last) && self.now_ms < vm.last_ms + HEARTBEAT_MS {
                 continue;
             }
-            if let Some(prompts) = &report.prompts {
-                let arrives_ms = self.now_ms + 40;
-                self.reports.push_back((arrives_ms, vm.name.clone(), PromptReport::clone(prompts)));
-            }
+            let prompts = report.prompts.as_deref().cloned().unwrap_or_default();
+            self.reports.push_back((self.now_ms + 40, number, prompts));
             (vm.last, vm.last_ms) = (report, self.now_ms);
         }
         while self.reports.front().is_some_and(|(at, ..)| *at <= self.now_ms) {
-            let Some((_, from, report)) = self.reports.pop_front() else { return };
-            for vm in &mut self.vms {
-                if vm.name == from || self.random.random::<f64>() < self.site.lost_reports {
+            let Some((_, sender, report)) = self.reports.pop_front() else { return };
+            let from = self.vms[sender].name.clone();
+            let (cut_ms, healed_ms) = self.site.cut_ms;
+            let is_cut = (cut_ms..healed_ms).contains(&self.now_ms);
+            for (receiver, vm) in self.vms.iter_mut().enumerate() {
+                let is_lost = self.random.random::<f64>() < self.site.lost_reports;
+                if receiver == sender || is_lost || (is_cut && sender.min(receiver) == 0) {
                     continue;
                 }
+                let heard_ms = vm.heard_ms.insert(from.clone(), self.now_ms);
+                if heard_ms.is_none_or(|heard_ms| self.now_ms > heard_ms + LOST_AFTER_MS) {
+                    vm.quarantines.repeat(now);
+                }
                 vm.ledger.observe(now, (&from, 1), &report);
                 for changed in &report.quarantines {
                     vm.quarantines.observe(now, changed);
@@ -264,6 +281,10 @@
                 && let Some(verdict) = vm.ledger.judge(now, &vm.quarantines)
                 && vm.quarantines.add(now, &verdict.parts)
             {}
+            // The store has them, so they are no longer reported.
+            for write in vm.quarantines.unsaved(now) {
+                vm.quarantines.apply_row(now, 1, write.record);
+            }
         }
     }
 
@@ -292,6 +313,7 @@
     rare = { PromptSite { crashing: 0.01, ..SMALL }, 8, 30 },
     beside_crashes = { PromptSite { crashing: 0.05, crashes: 0.05, resets: 0.03, ..SMALL }, 8, 30 },
     lost_reports = { PromptSite { crashing: 0.05, lost_reports: 0.5, ..SMALL }, 8, 30 },
+    vm_cut_off_during_verdict = { PromptSite { crashing: 0.005, cut_ms: (500, 60_000), ..SMALL }, 2, 600 },
     large = { PromptSite { crashing: 0.05, ..LARGE }, 1, 10 },
 )]
 fn part_that_crashes_targets_is_quarantined_in_time(site: PromptSite, seeds: u64, seconds: u64) {
