Quarantine: only requests with all parts that suspects share are held back

While a part is suspect, sound requests that shared another part with the failed ones were not sent again after a crash, and items with one waited up to 2 s.

Cause: one part in common with two failures was enough, although the failures have several in common and only one of them is the cause. Now a request is suspect if it contains all parts that the failures share, as for the quarantine itself.

sound_requests_that_share_parts_with_suspect_ones_are_not_suspect fails without the change: a request with the session's part alone was suspect.

--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -276,19 +276,28 @@
         parts.parts().iter().all(|part| newest(part).is_some_and(|newest| newest > after))
     }
 
-    /// Returns whether requests with one of these parts failed at several targets without an answer since.
-    pub fn is_suspect(&self, now: Duration, parts: &[u64]) -> bool {
-        parts.iter().any(|part| {
+    /// Returns whether requests like this one failed at several targets without an answer since: it contains
+    /// all parts that they have in common.
+    pub fn is_suspect(&self, now: Duration, prompt: &[u64]) -> bool {
+        prompt.iter().any(|part| {
             let failures = self.failures.iter().filter(|known| {
-                known.at + SUSPICION_TIME >= now
-                    && known.failure.parts.contains(part)
-                    && self.is_live(*part, known.at)
+                known.at + SUSPICION_TIME >= now && self.may_be_cause(*part, known)
             });
-            let targets: BTreeSet<u32> = failures.map(|known| known.failure.target).collect();
-            targets.len() >= MIN_SUSPECT_FAILURES
+            let failures: Vec<_> = failures.collect();
+            let targets: BTreeSet<u32> =
+                failures.iter().map(|known| known.failure.target).collect();
+            let Some(first) = failures.first() else { return false };
+            let is_common =
+                |part: &&u64| failures.iter().all(|known| self.may_be_cause(**part, known));
+            let mut common = first.failure.parts.iter().filter(is_common);
+            targets.len() >= MIN_SUSPECT_FAILURES && common.all(|part| prompt.contains(part))
         })
     }
 
+    fn may_be_cause(&self, part: u64, known: &RecordedFailure) -> bool {
+        known.failure.parts.contains(&part) && self.is_live(part, known.at)
+    }
+
     /// Returns the parts that are most likely to crash targets, if any are likely enough. Failures that
     /// quarantined parts explain are left out.
     pub fn judge(&self, now: Duration, quarantines: &QuarantineList) -> Option<CrashVerdict> {
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -346,3 +346,21 @@
         assert!(ledger.answered_parts() <= 8192, "{}", ledger.answered_parts());
     }
 }
+
+// The sound requests share all but the crashing part, and none of them was answered yet.
+#[test]
+fn sound_requests_that_share_parts_with_suspect_ones_are_not_suspect() {
+    let mut ledger = FailureLedger::default();
+    let at = Duration::from_millis;
+    for number in 0..2 {
+        let parts = vec![SHARED_PART, CRASHING_PART, 100 + u64::from(number)];
+        ledger
+            .record_failure(at(0), PromptFailure { target: number, service: 1, parts, age_ms: 0 });
+    }
+    assert!(ledger.is_suspect(at(10), &[SHARED_PART, CRASHING_PART, 200]));
+    assert!(!ledger.is_suspect(at(10), &[SHARED_PART, 300]));
+    assert!(!ledger.is_suspect(at(10), &[CRASHING_PART, 400]));
+    ledger.record_answer(at(20), 1, &[SHARED_PART, 300]);
+    assert!(ledger.is_suspect(at(30), &[CRASHING_PART, 400]));
+    assert!(!ledger.is_suspect(at(3000), &[SHARED_PART, CRASHING_PART, 200]));
+}
