Quarantine: a trial that reaches no target is given back

After three trials a part stays quarantined until an operator deletes its row. A trial counted once the store had permitted it, so while all targets were full or away three requests that reached none left sound parts quarantined for good.

Cause: the permission was not tied to the sending of the request. It is a guard now that travels with the request and gives the permission back when it is dropped before the request is sent, also when the caller leaves.

trial_that_reaches_no_target_is_given_back fails without the change: the second trial, 61 s after one that found no target, is refused as quarantined.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -12,7 +12,7 @@
 use crate::gateway::connections::SendError;
 use crate::gateway::events::{EventSplitter, OversizedEvent};
 use crate::gateway::leases::SlotLease;
-use crate::gateway::prompt_guard::quarantine_refusal;
+use crate::gateway::prompt_guard::{QuarantineTrial, quarantine_refusal};
 use crate::gateway::quota::QuotaState;
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::response_body::{BodyReceiver, BodySender, QueueError, open_body};
@@ -137,8 +137,8 @@
     pub(crate) order: Duration,
     /// When a batch item becomes critical.
     pub(crate) critical_at: Option<Duration>,
-    /// Whether the request has quarantined parts and is sent once to see whether they still crash targets.
-    pub(crate) is_trial: bool,
+    /// Set if the request has quarantined parts and is sent once to see whether they still crash targets.
+    pub(crate) trial: Option<Rc<QuarantineTrial>>,
 }
 
 impl AdmittedRequest {
@@ -220,7 +220,7 @@
             ends_at: request.received_at + limit,
             order: request.received_at,
             critical_at: None,
-            is_trial: false,
+            trial: None,
             service,
             workspace,
             quota,
@@ -280,6 +280,9 @@
                 resume_after,
                 needs_new_connection: history.refused_by.contains(&target.id),
             };
+            if let Some(trial) = &admitted.trial {
+                trial.record_sending();
+            }
             // Counted before sending, because a request whose future is dropped meanwhile may have run.
             history.runs += 1;
             let sent_at = monotonic();
@@ -482,6 +485,7 @@
             route: std::sync::Arc::clone(&self.route),
             service: self.service.clone(),
             workspace: self.workspace.clone(),
+            trial: self.trial.clone(),
             ..*self
         }
     }
@@ -546,7 +550,7 @@
     admitted: &AdmittedRequest,
     history: &AttemptHistory,
 ) -> Result<(), GatewayRefusal> {
-    let may_retry = admitted.route.class.may_retry() && !admitted.is_trial;
+    let may_retry = admitted.route.class.may_retry() && admitted.trial.is_none();
     if may_retry && history.runs < admitted.route.max_attempts {
         return Ok(());
     }
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -420,7 +420,7 @@
             ends_at: keep_until,
             order,
             critical_at,
-            is_trial: false,
+            trial: None,
         })
     }
 
--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -62,6 +62,28 @@
     }
 }
 
+/// Permission for a trial. Dropping it before the request is sent gives the permission back to the fleet.
+pub(crate) struct QuarantineTrial {
+    core: Rc<GatewayCore>,
+    parts: PartSet,
+    is_sent: Cell<bool>,
+}
+
+impl QuarantineTrial {
+    /// Records that the request is sent to a target.
+    pub(crate) fn record_sending(&self) {
+        self.is_sent.set(true);
+    }
+}
+
+impl Drop for QuarantineTrial {
+    fn drop(&mut self) {
+        if !self.is_sent.get() {
+            self.core.return_trial(&self.parts);
+        }
+    }
+}
+
 /// Returns the parts of a prompt, its own one included: a single request that is repeated may crash targets too.
 fn part_ids(request: &ForwardedRequest) -> Vec<u64> {
     request.demand.iter().flat_map(|demand| &demand.parts).map(|part| part.id).collect()
@@ -116,7 +138,7 @@
 
     /// Refuses a request with quarantined parts, unless it is due as a trial.
     pub(crate) async fn check_quarantine(
-        &self,
+        self: &Rc<Self>,
         admitted: &mut AdmittedRequest,
     ) -> Result<(), GatewayRefusal> {
         let parts = part_ids(&admitted.request);
@@ -125,7 +147,11 @@
         if self.claim_trial(&quarantined).await {
             log::warn!(id = &*admitted.request.id, parts = quarantined.to_string(); "quarantine trial");
             self.metrics.count("quarantine", "trial");
-            admitted.is_trial = true;
+            admitted.trial = Some(Rc::new(QuarantineTrial {
+                core: Rc::clone(self),
+                parts: quarantined,
+                is_sent: Cell::new(false),
+            }));
             return Ok(());
         }
         Err(GatewayRefusal::of(RefusalReason::Quarantined))
@@ -133,7 +159,7 @@
 
     /// Waits until the request contains quarantined parts and may not be sent.
     pub(crate) async fn quarantined(&self, admitted: &AdmittedRequest) {
-        if admitted.is_trial {
+        if admitted.trial.is_some() {
             std::future::pending::<()>().await;
         }
         let parts = part_ids(&admitted.request);
@@ -169,6 +195,21 @@
         }
     }
 
+    fn return_trial(self: &Rc<Self>, parts: &PartSet) {
+        let store_time = self.store_time();
+        let returned = self.prompts.quarantines.borrow().returned_trial(store_time, parts);
+        let Some(write) = returned else { return };
+        let core = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = core.write_quarantine(&write).await {
+                log::warn!(
+                    parts = write.record.parts.to_string(), error = error.to_string();
+                    "quarantine trial that reached no target not given back; it counts as one that failed"
+                );
+            }
+        });
+    }
+
     async fn write_quarantine(&self, write: &QuarantineWrite) -> RowResult<()> {
         let transaction = RowTransaction::in_partition("")
             .expect(QUARANTINE_TABLE, &write.key, write.expected)
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -282,4 +282,19 @@
             QuarantineRecord { trials, next_trial_at: store_time + pause, ..record.clone() };
         Some(QuarantineWrite { key: parts.row_key(), expected: stored.version, record })
     }
+
+    /// Returns the write that gives back a trial whose request reached no target.
+    pub(crate) fn returned_trial(
+        &self,
+        store_time: Duration,
+        parts: &PartSet,
+    ) -> Option<QuarantineWrite> {
+        let stored = self.entries.get(parts).filter(|entry| !entry.is_lifted)?.stored.as_ref()?;
+        let record = QuarantineRecord {
+            trials: stored.record.trials.checked_sub(1)?,
+            next_trial_at: store_time + FIRST_TRIAL_PAUSE,
+            ..stored.record.clone()
+        };
+        Some(QuarantineWrite { key: parts.row_key(), expected: stored.version, record })
+    }
 }
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -364,3 +364,34 @@
     assert!(ledger.is_suspect(at(30), &[CRASHING_PART, 400]));
     assert!(!ledger.is_suspect(at(3000), &[SHARED_PART, CRASHING_PART, 200]));
 }
+
+// The first trials find no target. The part is mended meanwhile.
+#[test]
+fn trial_that_reaches_no_target_is_given_back() {
+    run(async {
+        let is_mended = Rc::new(Cell::new(false));
+        let mended = Rc::clone(&is_mended);
+        let site = FakeSite::open(FakeTargets::open(move |seen, _| {
+            if seen.parts.contains(&CRASHING_PART) && !mended.get() {
+                TargetBehavior::Fails(SendError::Lost("reset".to_owned()))
+            } else {
+                TargetBehavior::Events(3, true)
+            }
+        }));
+        let gateway = site.gateway("vm1").await;
+        quarantine_crashing_part(&site, &gateway).await;
+        for target in site.store.keys("targets") {
+            site.store.remove("targets", &target);
+        }
+        for number in 0..5 {
+            tokio::time::sleep(Duration::from_secs(61)).await;
+            let trial = prompt_request(&format!("t{number}"), "/chat/1", &[CRASHING_PART]);
+            let refusal = gateway.forward(trial).await.err().unwrap();
+            assert_eq!(refusal.reason, RefusalReason::NoTarget, "{number}");
+        }
+        is_mended.set(true);
+        site.store.put("targets", "t9", b"ready");
+        tokio::time::sleep(Duration::from_secs(61)).await;
+        assert!(gateway.forward(prompt_request("sent", "/chat/1", &[CRASHING_PART])).await.is_ok());
+    });
+}
