Tests: groups of requests that must reach every target are large enough

Cause: the check sent 12 requests, each of which goes to one of three equal targets at random. A group misses a given target with a probability of (2/3)^12 = 0.8 %, and the two tests have seven such checks.

The opposite checks, that no request reaches a target, become stricter as well.

--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -457,10 +457,11 @@
     });
 }
 
-/// Sends requests and returns the targets that they reached.
+/// Sends enough requests to reach each of three usable targets (one of 10^10 such groups misses one) and
+/// returns the targets that they reached.
 async fn reached_targets(site: &FakeSite, gateway: &Gateway, name: &str) -> BTreeSet<String> {
     let before = site.targets.seen.borrow().len();
-    for id in 0..12 {
+    for id in 0..60 {
         let _ = gateway.forward(request(&format!("{name}{id}"), "/safe/1")).await;
     }
     let seen = site.targets.seen.borrow();
