--- a/crates/ebonydock/src/gateway/connections.rs
+++ b/crates/ebonydock/src/gateway/connections.rs
@@ -168,17 +168,23 @@
     pub fn open(limit: usize) -> Self {
         Self { used: Rc::default(), limit }
     }
+
+    /// Opens the share of one body. Dropping it frees its bytes.
+    pub fn share(&self) -> BudgetShare<'_> {
+        BudgetShare { budget: self, bytes: 0 }
+    }
 }
 
-/// The part of a budget that one call uses.
-struct BudgetShare<'a> {
+/// The part of a budget that one body uses.
+pub struct BudgetShare<'a> {
     budget: &'a BodyBudget,
     bytes: usize,
 }
 
 impl BudgetShare<'_> {
     /// Adds bytes and returns whether the budget suffices.
-    fn add(&mut self, bytes: usize) -> bool {
+    #[must_use]
+    pub fn add(&mut self, bytes: usize) -> bool {
         self.bytes += bytes;
         let used = self.budget.used.get() + bytes;
         self.budget.used.set(used);
@@ -388,7 +394,7 @@
     ///
     /// Fails if the body breaks off, is larger than `limit` bytes or exceeds what is left of the budget.
     pub async fn read_all(mut self, limit: usize, budget: &BodyBudget) -> Result<Bytes, SendError> {
-        let mut share = BudgetShare { budget, bytes: 0 };
+        let mut share = budget.share();
         let mut chunks = Vec::new();
         while let Some(chunk) = self.next_chunk().await {
             let chunk = chunk?;
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -115,7 +115,8 @@
 }
 
 impl GatewayRefusal {
-    pub(crate) fn of(reason: RefusalReason) -> Self {
+    /// Creates a refusal without a delay.
+    pub fn of(reason: RefusalReason) -> Self {
         Self { reason, retry_after: None }
     }
 }
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -51,7 +51,7 @@
     RouteCatalog, RouteClass, RouteMiss, ServiceProfile,
 };
 pub use connections::{
-    BodyBudget, ConnectionPool, IdleConnections, PooledBody, PooledResponse, SendError,
+    BodyBudget, BudgetShare, ConnectionPool, IdleConnections, PooledBody, PooledResponse, SendError,
 };
 pub use dispatcher::{PlacementOutcome, RequestDispatcher};
 pub use events::{EventSplitter, OversizedEvent, StreamEvent};
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -30,7 +30,7 @@
     WorkspaceEntry,
 };
 pub use gateway::{
-    AnswerCount, BatchPolicy, BatchPreemption, BodyBudget, BodyReceiver, CallerLimits,
+    AnswerCount, BatchPolicy, BatchPreemption, BodyBudget, BodyReceiver, BudgetShare, CallerLimits,
     ConnectionPool, CrashVerdict, EventSplitter, FailureLedger, ForwardResponse, ForwardRoute,
     ForwardedRequest, Gateway, GatewayConfig, GatewayMetrics, GatewayRefusal, GatewaySettings,
     GatewayWorkspace, IdleConnections, JobApiResult, JobItem, JobItemResult, JobRefusal,
