Jobs: declared tokens that overflow do not bypass the limit

A job whose items declared 2^64 + 1 tokens together, or nearly 2^64 beside a waiting job, was accepted however small the workspace's limit was. In a debug build the VM that took the submission panicked.

Cause: unchecked sums of numbers that callers choose.

waiting_tokens_that_overflow_are_refused fails without the change, both cases with `attempt to add with overflow`.

--- a/crates/ebonydock/src/gateway/job_api.rs
+++ b/crates/ebonydock/src/gateway/job_api.rs
@@ -100,9 +100,11 @@
         if self.is_stopping() {
             return Err(JobRefusal::Unavailable);
         }
-        let tokens: u64 = submission.items.iter().map(|item| item.tokens).sum();
+        // The caller may declare any number of tokens.
+        let mut tokens = submission.items.iter().map(|item| item.tokens);
+        let tokens = tokens.try_fold(0_u64, u64::checked_add).ok_or(JobRefusal::TooMuchWaiting)?;
         let waiting = self.jobs.index.borrow().waiting_tokens(workspace.as_ref(), &route);
-        if terms.max_waiting_tokens.is_some_and(|max| waiting + tokens > max) {
+        if terms.max_waiting_tokens.is_some_and(|max| waiting.saturating_add(tokens) > max) {
             // Another VM may have accepted the same job, and the change has not arrived here yet.
             return match self.read_job_with_retry(&job).await? {
                 Some(_) => Ok(()),
--- a/crates/ebonydock/src/gateway/job_records.rs
+++ b/crates/ebonydock/src/gateway/job_records.rs
@@ -335,7 +335,9 @@
                 && entry.head.workspace.as_ref() == workspace
                 && entry.head.route == route
         });
-        jobs.map(|entry| entry.head.tokens.saturating_sub(entry.progress.listed_tokens)).sum()
+        let waiting =
+            jobs.map(|entry| entry.head.tokens.saturating_sub(entry.progress.listed_tokens));
+        waiting.fold(0, u64::saturating_add)
     }
 
     /// Whether the given incarnation of a VM leads the job and the job is unfinished.
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -248,6 +248,24 @@
     });
 }
 
+#[parameterized(
+    of_one_job = { &[u64::MAX, 2] },
+    with_waiting_job = { &[u64::MAX] },
+)]
+fn waiting_tokens_that_overflow_are_refused(tokens: &[u64]) {
+    run(async move {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Hangs));
+        let gateway = site.gateway("vm1").await;
+        gateway.submit_job(submission("j1")).await.unwrap();
+        let mut large = submission("j2");
+        large.items.truncate(tokens.len());
+        for (item, tokens) in large.items.iter_mut().zip(tokens) {
+            item.tokens = *tokens;
+        }
+        assert_eq!(gateway.submit_job(large).await, Err(JobRefusal::TooMuchWaiting));
+    });
+}
+
 #[test]
 fn ended_job_stops_and_keeps_committed_results() {
     run(async {
