Quotas: the delay of a workspace with nearly no rate is limited

The delay is at most an hour now.

delay_of_nearly_zero_rate_is_limited fails without the change, with `value is either too big or NaN`. The class is that of the incident: one input that costs one process each time it is handled.

--- a/crates/ebonydock/src/gateway/quota.rs
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -17,6 +17,8 @@
 const MAX_DEBT_SECONDS: f64 = 1.0;
 /// Minimum Retry-After of a refused request.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Maximum Retry-After of a refused request.
+const MAX_RETRY_AFTER: Duration = Duration::from_hours(1);
 /// Fraction of each quota that a VM may spend before it knows how many VMs there are.
 const INITIAL_FRACTION: f64 = 0.01;
 /// How long spent quota is included in reports. It is sent repeatedly because reports may be lost.
@@ -279,8 +281,9 @@
         }
         if bucket.level < 1.0 {
             let refill = bucket.rate * live_fraction;
-            let wait = Duration::from_secs_f64((1.0 - bucket.level) / refill);
-            return Err(wait.max(MIN_RETRY_AFTER));
+            let wait = Duration::try_from_secs_f64((1.0 - bucket.level) / refill);
+            let wait = wait.unwrap_or(MAX_RETRY_AFTER);
+            return Err(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
         }
         bucket.level -= 1.0;
         if bucket.local_spent == 0 {
--- a/crates/ebonydock/src/gateway/tests/quota.rs
+++ b/crates/ebonydock/src/gateway/tests/quota.rs
@@ -466,3 +466,12 @@
     ledgers[1].observe(now, &first, &refunded);
     assert_eq!(ledgers[1].admit(now, &workspace), Ok(()));
 }
+
+#[test]
+fn delay_of_nearly_zero_rate_is_limited() {
+    let (workspace, now) = (WorkspaceId::from("small"), Duration::from_secs(6));
+    let mut ledger = QuotaLedger::open(Duration::ZERO);
+    ledger.set_members(Duration::ZERO, 1);
+    ledger.set_quota(Duration::ZERO, &workspace, 1e-300, 0.5);
+    assert_eq!(ledger.admit(now, &workspace), Err(Duration::from_hours(1)));
+}
