Gateway: the forwarder of streams gets a file of its own

Admission, attempts and responses without events stay; what follows the first event of a stream moves. No logic is changed; the functions that both use are visible in the crate.

--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod response_body;
 mod runtime;
 mod slots;
+mod stream_forwarder;
 #[cfg(test)]
 mod tests;
 mod traces;
