Daemon: a refusal before the body is read is not lost

Callers without a valid key, and others that were refused before their body was read, sometimes got a broken connection instead of 401 or 403. `not_run` did not reach them, so they could not know that they may send the request again.

Cause: the connection is closed after a response to a request whose body was not read, and bytes that arrive at a closed connection reset it, which discards the response at the caller. Refused bodies are read and dropped now, up to the same limit as bodies that are too large.

refusal_is_not_lost_while_body_is_sent, which sends the body in pieces, fails without the change (broken pipe).

--- a/crates/ebonydock/src/entry/batches.rs
+++ b/crates/ebonydock/src/entry/batches.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::unix_seconds;
 use crate::entry::auth::{AuthenticatedCaller, admit_caller, authenticate};
-use crate::entry::body::respond_json;
+use crate::entry::body::{check_before_body, respond_json};
 use crate::entry::{Refusal, RefusalCode};
 use crate::ids::{JobId, ObjectName};
 use crate::jobs::{
@@ -93,15 +93,19 @@
     context: &Rc<VmContext>,
     request: &HttpRequest,
     query: Option<Query<SubmitQuery>>,
-    payload: Payload,
+    mut payload: Payload,
 ) -> Result<HttpResponse, Refusal> {
-    let caller = authenticate(context, request)?;
-    let query = query.ok_or_else(|| {
-        let message = "name the job: `POST /v1/batches?name=NAME&due_in_s=SECONDS`";
-        Refusal::new(RefusalCode::BadRequest, message)
-    })?;
-    let key = job_key(&caller, &query.name)?;
-    admit_caller(context, &caller).await?;
+    let checked = async {
+        let caller = authenticate(context, request)?;
+        let query = query.ok_or_else(|| {
+            let message = "name the job: `POST /v1/batches?name=NAME&due_in_s=SECONDS`";
+            Refusal::new(RefusalCode::BadRequest, message)
+        })?;
+        let key = job_key(&caller, &query.name)?;
+        admit_caller(context, &caller).await?;
+        Ok((caller, key, query))
+    };
+    let (caller, key, query) = check_before_body(checked.await, &mut payload).await?;
     let due_in = query.due_in_s.unwrap_or(DEFAULT_DUE_SECONDS);
     let submission = JobSubmission { key: key.clone(), entry: caller.entry, due_in };
     let (row, progress) = submit_job(context, submission, payload).await?;
--- a/crates/ebonydock/src/entry/body.rs
+++ b/crates/ebonydock/src/entry/body.rs
@@ -33,6 +33,21 @@
     Ok(body)
 }
 
+/// Passes on the result of the checks before a body is read. Drops the body if the request is refused.
+///
+/// # Errors
+///
+/// Returns the refusal.
+pub(crate) async fn check_before_body<T>(
+    checked: Result<T, Refusal>,
+    payload: &mut Payload,
+) -> Result<T, Refusal> {
+    if checked.is_err() {
+        discard(payload).await;
+    }
+    checked
+}
+
 /// Reads and drops the rest of a body, up to [`MAX_DISCARDED_BYTES`].
 ///
 /// A caller whose connection is closed while it still sends doesn't see the refusal.
--- a/crates/ebonydock/src/entry/completions.rs
+++ b/crates/ebonydock/src/entry/completions.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::{monotonic, unix_seconds};
 use crate::entry::auth::{AuthenticatedCaller, admit_caller, authenticate};
-use crate::entry::body::{parse_json, read_body, respond_json};
+use crate::entry::body::{check_before_body, parse_json, read_body, respond_json};
 use crate::entry::prompt::{ChatMessage, InferenceBody, prompt_of};
 use crate::entry::{Refusal, RefusalCode};
 use crate::ids::{ModelName, WorkspaceId};
@@ -127,12 +127,13 @@
 async fn run_inference(
     context: &Rc<VmContext>,
     request: &HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
     format: ResponseFormat,
 ) -> Result<HttpResponse, WorkspaceRefusal> {
     let received_at = monotonic();
     let running = context.start_request();
-    let caller = authenticate(context, request).map_err(|refusal| (refusal, None))?;
+    let caller = check_before_body(authenticate(context, request), &mut payload).await;
+    let caller = caller.map_err(|refusal| (refusal, None))?;
     let workspace = caller.entry.workspace.clone();
     let with_workspace = |refusal: Refusal| (refusal, Some(workspace.clone()));
     let body =
--- a/crates/ebonydock/src/entry/mod.rs
+++ b/crates/ebonydock/src/entry/mod.rs
@@ -12,6 +12,6 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use body::{parse_json, read_body, respond_json};
+pub(crate) use body::{check_before_body, parse_json, read_body, respond_json};
 pub(crate) use refusal::{Refusal, RefusalCode};
 pub(crate) use server::{configure, unknown_route};
--- a/crates/ebonydock/src/entry/services.rs
+++ b/crates/ebonydock/src/entry/services.rs
@@ -9,7 +9,7 @@
 
 use crate::configuration::ServiceCall;
 use crate::entry::auth::{AuthenticatedCaller, admit_caller, authenticate, bearer_key};
-use crate::entry::body::read_body;
+use crate::entry::body::{check_before_body, read_body};
 use crate::entry::{Refusal, RefusalCode};
 use crate::ids::ServiceName;
 use crate::service_calls::{OutgoingCall, deliver_call};
@@ -38,15 +38,13 @@
 async fn forward(
     context: &Rc<VmContext>,
     request: &HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
 ) -> Result<HttpResponse, Refusal> {
     let service = ServiceName::from(request.match_info().get("service").unwrap_or_default());
     let rest = request.match_info().get("rest").unwrap_or_default();
     let path = format!("/{rest}");
-    if path.split('/').any(|segment| segment == ".." || segment == ".") {
-        return Err(Refusal::new(RefusalCode::BadRequest, "the path must not contain `..`"));
-    }
-    let (caller, call) = authorise(context, request, &service, &path)?;
+    let authorised = authorise(context, request, &service, &path);
+    let (caller, call) = check_before_body(authorised, &mut payload).await?;
     let body = read_body(payload, context.settings().online.body_limit).await?;
     if let Some(caller) = &caller {
         admit_caller(context, caller).await?;
@@ -90,6 +88,9 @@
     service: &ServiceName,
     path: &str,
 ) -> Result<(Option<AuthenticatedCaller>, ServiceCall), Refusal> {
+    if path.split('/').any(|segment| segment == ".." || segment == ".") {
+        return Err(Refusal::new(RefusalCode::BadRequest, "the path must not contain `..`"));
+    }
     let anonymous_call =
         context.shared.with_config(|config| config.service_call(None, service, path));
     if bearer_key(request).is_none()
--- a/crates/ebonydock/src/operators/server.rs
+++ b/crates/ebonydock/src/operators/server.rs
@@ -11,7 +11,7 @@
 use crate::clock::{monotonic, unix_seconds};
 use crate::configuration::messages::ChangeReply;
 use crate::configuration::{ConfigDocument, ConfigStore, EditError};
-use crate::entry::{Refusal, RefusalCode, parse_json, read_body, respond_json};
+use crate::entry::{Refusal, RefusalCode, check_before_body, parse_json, read_body, respond_json};
 use crate::jobs::{JobRow, JobState, ProgressRow};
 use crate::operators::messages::{EditBody, EditReply};
 use crate::operators::{announce, apply_reply, status};
@@ -61,10 +61,10 @@
 async fn edit(
     context: State<Rc<VmContext>>,
     request: HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
 ) -> HttpResponse {
     let result = async {
-        authorize(&context, &request)?;
+        check_before_body(authorize(&context, &request), &mut payload).await?;
         let body = read_body(payload, MAX_BODY_BYTES).await?;
         apply_edit(&context, parse_json(&body)?).await
     };
--- a/crates/ebonydockd/tests/site/online.rs
+++ b/crates/ebonydockd/tests/site/online.rs
@@ -1,5 +1,7 @@
 //! Tests of online requests under failure, with real daemon processes.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 use ebonydock::{Change, DataCentreId, KeyHash};
@@ -269,6 +271,43 @@
     .await;
 }
 
+/// Sends a body in pieces and returns all that the VM answers, or the error of the connection.
+fn send_slowly(address: SocketAddr, path: &str) -> std::io::Result<String> {
+    const PIECES: usize = 8;
+    const PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
+    let mut stream = TcpStream::connect(address)?;
+    let length = PIECES * PIECE.len();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: site\r\nauthorization: Bearer unknown\r\n\
+         connection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    for _ in 0..PIECES {
+        std::thread::sleep(Duration::from_millis(20));
+        stream.write_all(&PIECE)?;
+    }
+    let mut response = String::new();
+    stream.read_to_string(&mut response)?;
+    Ok(response)
+}
+
+#[ntex::test]
+async fn refusal_is_not_lost_while_body_is_sent() {
+    let site = Site::open(&["celje"], 1, &[fast_engine()]).await;
+    site.configure(&[workspace("zlatnik", 1000.0, 1000.0)]).await;
+    let vm = &site.vms[0];
+    for (address, path) in [
+        (vm.callers, "/v1/chat/completions"),
+        (vm.callers, "/v1/batches?name=a"),
+        (vm.callers, "/services/notices/send"),
+        (vm.operators, "/operator/v1/changes"),
+    ] {
+        let response = send_slowly(address, path);
+        let response = response.unwrap_or_else(|error| panic!("{path}: {error}"));
+        assert!(response.starts_with("HTTP/1.1 401 "), "{path}: {response}");
+    }
+}
+
 #[ntex::test]
 async fn daemon_spawns_no_process_and_uses_no_io_uring() {
     let site = Site::open(&["celje"], 1, &[fast_engine()]).await;
