--- a/crates/ebonydockd/tests/site/online.rs
+++ b/crates/ebonydockd/tests/site/online.rs
@@ -274,9 +274,9 @@
 /// Sends a body in pieces and returns all that the VM answers, or the error of the connection.
 fn send_slowly(address: SocketAddr, path: &str) -> std::io::Result<String> {
     const PIECES: usize = 8;
-    const PIECE: [u8; 64 * 1024] = [b'x'; 64 * 1024];
+    let piece = vec![b'x'; 64 * 1024];
     let mut stream = TcpStream::connect(address)?;
-    let length = PIECES * PIECE.len();
+    let length = PIECES * piece.len();
     let head = format!(
         "POST {path} HTTP/1.1\r\nhost: site\r\nauthorization: Bearer unknown\r\n\
          connection: close\r\ncontent-length: {length}\r\n\r\n"
@@ -284,7 +284,7 @@
     stream.write_all(head.as_bytes())?;
     for _ in 0..PIECES {
         std::thread::sleep(Duration::from_millis(20));
-        stream.write_all(&PIECE)?;
+        stream.write_all(&piece)?;
     }
     let mut response = String::new();
     stream.read_to_string(&mut response)?;
