Quarantine: parts that were answered before do not make requests suspect

When several targets crashed together for another reason, items were held for up to 2 s, and requests that had failed were not sent again, if they shared with the lost ones only parts that had been answered just before, such as the first part of their kind.

Cause: an answer from before the failures did not count, although a part that crashes targets is never answered. Suspicion is a precaution of seconds before a verdict, so it now needs parts that no answer has begun on; the verdict itself is unchanged.

requests_with_parts_answered_before_a_mass_crash_are_not_suspect fails without the change.

--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -276,8 +276,9 @@
         parts.parts().iter().all(|part| newest(part).is_some_and(|newest| newest > after))
     }
 
-    /// Returns whether requests like this one failed at several targets without an answer since: it contains
-    /// all parts that they have in common.
+    /// Returns whether requests like this one failed at several targets: it contains all parts that they have in
+    /// common and that were never answered. Targets that crash together for another reason have failed requests
+    /// in common too, but mostly with parts that were answered before.
     pub fn is_suspect(&self, now: Duration, prompt: &[u64]) -> bool {
         prompt.iter().any(|part| {
             let failures = self.failures.iter().filter(|known| {
@@ -295,7 +296,8 @@
     }
 
     fn may_be_cause(&self, part: u64, known: &RecordedFailure) -> bool {
-        known.failure.parts.contains(&part) && self.is_live(part, known.at)
+        let is_answered = self.answered.get(&part).is_some_and(|answers| answers.newest.is_some());
+        known.failure.parts.contains(&part) && !is_answered
     }
 
     /// Returns the parts that are most likely to crash targets, if any are likely enough. Failures that
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -365,6 +365,19 @@
     assert!(!ledger.is_suspect(at(3000), &[SHARED_PART, CRASHING_PART, 200]));
 }
 
+// Two targets crash together for another reason.
+#[test]
+fn requests_with_parts_answered_before_a_mass_crash_are_not_suspect() {
+    let mut ledger = FailureLedger::default();
+    let at = Duration::from_millis;
+    ledger.record_answer(at(0), 1, &[SHARED_PART, 300]);
+    for target in 0..2 {
+        let parts = vec![SHARED_PART, 100 + u64::from(target)];
+        ledger.record_failure(at(5000), PromptFailure { target, service: 1, parts, age_ms: 0 });
+    }
+    assert!(!ledger.is_suspect(at(5010), &[SHARED_PART, 200]));
+}
+
 // The first trials find no target. The part is mended meanwhile.
 #[test]
 fn trial_that_reaches_no_target_is_given_back() {
