Review: items stay for good with a server that sends bytes without end

Cause: the idle timeout of an item's run starts anew with each byte, and the run does not look at the time of the item, so a server that sends a byte now and then keeps the item.

Added: case 3, a script in which one server of seven sends such bytes for 6.5 s.

--- a/review/harness.rs
+++ b/review/harness.rs
@@ -601,6 +601,10 @@
     ended: Option<(f64, String)>,
 }
 
+/// The id of the server that sends bytes which are no answer.
+static IN_TROUBLE: Mutex<Option<String>> = Mutex::new(None);
+const GARBAGE_PAUSE_S: f64 = 0.5;
+
 static RUNS: Mutex<Vec<Run>> = Mutex::new(Vec::new());
 
 /// Events of an answer to a request that is no item of a batch job.
@@ -678,6 +682,18 @@
         )
     }
 
+    /// Answers with a head and bytes without end, and does not run the request.
+    fn send_garbage(&self, writer: &mut TcpStream, id: &str, own: &str) -> bool {
+        note!("{}: {id} arrives and gets bytes without end", self.id);
+        let head = format!("HTTP/1.1 200 OK\r\n{own}content-type: text/event-stream\r\n\r\n");
+        let mut is_open = writer.write_all(head.as_bytes()).is_ok();
+        while is_open {
+            is_open = stays_open(writer, GARBAGE_PAUSE_S) && writer.write_all(b"~").is_ok();
+        }
+        note!("{}: the connection of {id} is closed", self.id);
+        false
+    }
+
     fn run(&self, writer: &mut TcpStream, request: &Message, plan: ServerPlan) -> bool {
         let id = request.header("ebonydock-request-id").unwrap_or("").to_owned();
         let own = format!(
@@ -697,6 +713,9 @@
             );
             return answer(writer, "421 Misdirected Request", &own, b"");
         }
+        if *IN_TROUBLE.lock().unwrap() == Some(self.id.clone()) {
+            return self.send_garbage(writer, &id, &own);
+        }
         let number = {
             let mut runs = RUNS.lock().unwrap();
             runs.push(Run {
@@ -743,7 +762,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
-    fn prctl(option: i32, argument: u64) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 const SIGKILL: u64 = 9;
@@ -1121,6 +1140,56 @@
     i32::from(!lost.is_empty() || wrong)
 }
 
+/// One server of seven sends bytes that are no answer for 6.5 s, each time until the caller closes.
+fn endless_bytes(trouble: bool) -> i32 {
+    let plan = ServerPlan { events: 40, event_s: 0.05 };
+    let store = Store::spawn();
+    store.put("op", "config", &config());
+    let servers: Vec<Server> =
+        (0..7).map(|index| Server::spawn(&format!("i-{index}"), 1, plan)).collect();
+    for server in &servers {
+        store.put("servers", &server.id, &server.entry("ready"));
+    }
+    let gateways = start_gateways(&store, 2);
+    sleep_s(3.0);
+    if trouble {
+        note!("i-0 is in trouble");
+        *IN_TROUBLE.lock().unwrap() = Some("i-0".to_owned());
+        thread::spawn(|| {
+            sleep_s(6.5);
+            *IN_TROUBLE.lock().unwrap() = None;
+            note!("i-0 is sound again");
+        });
+    }
+    sleep_s(0.5);
+    let items: Vec<String> = (0..12).map(|index| format!("item-{index}")).collect();
+    let status = submit(&gateways[0], "job-1", &items);
+    note!("job-1 handed in at {}: {status}", gateways[0].name);
+    if status != 202 {
+        return 2;
+    }
+    for number in 0..20 {
+        let status = chat(&gateways[number % 2], &format!("chat-{number}"), &[]);
+        note!("chat-{number}: {status}");
+        sleep_s(0.1);
+    }
+    note!("traffic ends");
+    let finish = now_s() + 18.0;
+    while now_s() < finish {
+        sleep_s(1.0);
+        let listed = results_anywhere(&gateways, "job-1").len();
+        note!("job-1: {listed} of 12 items listed");
+        if listed == 12 {
+            break;
+        }
+    }
+    let listed = results_anywhere(&gateways, "job-1");
+    let lost = lost_items(&[items], &[listed], 56.0);
+    record_runs();
+    note!("lost items: {lost:?}");
+    i32::from(!lost.is_empty())
+}
+
 /// A release replaces half of the servers by ones with newer weights. The sessions of two callers go on with the
 /// weights that they began with.
 fn pinned_version(trouble: bool) -> i32 {
@@ -1228,6 +1297,7 @@
     // Gateways end with their handles, also if a scenario panics.
     let ended = std::panic::catch_unwind(|| match scenario.as_str() {
         "stale-unpublish" => stale_unpublish(trouble),
+        "endless-bytes" => endless_bytes(trouble),
         "pinned-version" => pinned_version(trouble),
         _ => 2,
     });
