--- a/review/harness.rs
+++ b/review/harness.rs
@@ -375,6 +375,8 @@
     version: u64,
     /// The next deletion of this row is not answered, and is done this many seconds later.
     late_delete: Option<(String, String, f64)>,
+    /// When each transaction arrived.
+    transactions: Vec<f64>,
 }
 
 impl StoreRows {
@@ -560,6 +562,7 @@
             return Some(("400 Bad Request", "{}".to_owned()));
         };
         let mut state = self.state.lock().unwrap();
+        state.transactions.push(now_s());
         if let Some((table, key, delay_s)) = state.late_delete.clone() {
             let is_it = |row: &Json| row.text("table") == table && row.text("key") == key;
             if body.list("delete").iter().any(is_it) {
@@ -603,6 +606,9 @@
 static IN_TROUBLE: Mutex<Option<String>> = Mutex::new(None);
 const GARBAGE_PAUSE_S: f64 = 0.5;
 
+/// The ids of the servers that leave, which say so in all their answers.
+static LEAVING: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
 static RUNS: Mutex<Vec<Run>> = Mutex::new(Vec::new());
 
 /// Events of an answer to a request that is no item of a batch job.
@@ -698,6 +704,8 @@
             "ebonydock-request-id: {id}\r\nebonydock-instance-id: {}\r\nebonydock-weight-versions: {}\r\n",
             self.id, self.version
         );
+        let leaving = LEAVING.lock().unwrap().contains(&self.id);
+        let own = if leaving { format!("{own}server-leaving: 1\r\n") } else { own };
         if request.header("ebonydock-target-instance").is_some_and(|named| named != self.id) {
             return answer(writer, "421 Misdirected Request", &own, b"");
         }
@@ -737,7 +745,7 @@
             return false;
         }
         let events =
-            if request.target().starts_with("/night/") { plan.events } else { CHAT_EVENTS };
+            if request.target().starts_with("/night/item-") { plan.events } else { CHAT_EVENTS };
         for event in from + 1..=events {
             let text = format!("id: {event}\ndata: piece {event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
@@ -952,6 +960,10 @@
 }
 
 fn submit(gateway: &GatewayProcess, job: &str, items: &[String]) -> u16 {
+    submit_at(gateway.front, job, items)
+}
+
+fn submit_at(front: SocketAddr, job: &str, items: &[String]) -> u16 {
     let items = items.iter().map(|id| {
         format!(
             "{{\"id\":\"{id}\",\"path\":\"/night/{id}\",\"headers\":{{\"Ebonydock-Model\":\"m\",\
@@ -966,7 +978,7 @@
         ("ebonydock-request-id", job),
         ("content-type", "application/json"),
     ];
-    match call(gateway.front, "POST", "/night/jobs", &headers, body.as_bytes(), 5.0) {
+    match call(front, "POST", "/night/jobs", &headers, body.as_bytes(), 5.0) {
         Ok(response) => response.status(),
         Err(_) => 0,
     }
@@ -1097,10 +1109,28 @@
             Some(("gateway_members".to_owned(), name.clone(), 5.5));
     }
     let began = now_s();
+    // The usual work: a short batch job each half a second, at a machine that is not stopped.
+    let front = gateways[1].front;
+    let usual = thread::spawn(move || {
+        for number in 0..14 {
+            let status = submit_at(front, &format!("usual-{number}"), &[format!("short-{number}")]);
+            note!("usual-{number} handed in: {status}");
+            sleep_s(0.5);
+        }
+    });
     gateways[0].restart();
     wait_for("the restarted machine is ready", || gateways[0].is_ready());
+    let _ = usual.join();
     // Until the late write is done, and then until all machines are in touch.
     sleep_until(began + 10.0);
+    let span = (began + 2.0, began + 6.5);
+    let transactions = store.state.lock().unwrap().transactions.clone();
+    let within = transactions.iter().filter(|at| (span.0..=span.1).contains(*at)).count();
+    note!(
+        "store: {within} writes in the 4.5 s from {:.3} on, answers lost: {}",
+        span.0,
+        u8::from(trouble)
+    );
     note!("entry of {name} is in the store: {}", store.has("gateway_members", &name));
     sleep_s(4.0);
     let jobs: Vec<(String, Vec<String>)> = (0..3)
@@ -1221,6 +1251,7 @@
         for (index, server) in old.iter().take(2).enumerate() {
             let new = Server::spawn(&format!("i-new-{index}"), 2, plan);
             store.put("servers", &new.id, &new.entry("ready"));
+            LEAVING.lock().unwrap().push(server.id.clone());
             store.put("servers", &server.id, &server.entry("draining"));
             sleep_s(1.0);
         }
