Logs: what a VM knew of the leader that it replaces

The line now says whether the previous leader was published and heard, since when it was missing, how many VMs are heard, and which version was claimed beside the one that the leader starts with.

--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -8,7 +8,7 @@
 use crate::gateway::followers::{FeedPacing, TableUpdate};
 use crate::gateway::job_leader::{JobLeader, LeaderState, handover_transaction, read_partials};
 use crate::gateway::job_records::{
-    INPUT_TABLE, JOB_TABLE, JobName, PARTIAL_TABLE, RESULT_TABLE, encode, job_partitions,
+    INPUT_TABLE, JOB_TABLE, JobEntry, JobName, PARTIAL_TABLE, RESULT_TABLE, encode, job_partitions,
     join_chunks,
 };
 use crate::gateway::job_service::{RunningLeader, StartingGuard};
@@ -31,6 +31,15 @@
 /// Rows deleted by one transaction; the store accepts at most 100.
 const MAX_DELETE_ROWS: usize = 90;
 
+/// What a VM knows of a job's recorded leader.
+struct LeaderView {
+    is_published: bool,
+    is_live: bool,
+    missing_for: Duration,
+    /// Number of other VMs whose reports arrive.
+    live_vms: usize,
+}
+
 impl GatewayCore {
     /// Starts the tasks that follow the job table, replace lost leaders and delete expired jobs.
     pub(crate) fn spawn_jobs(self: &Rc<Self>) {
@@ -124,6 +133,20 @@
         owner_of(job.as_str(), &candidates) == Some(&self.settings.vm)
     }
 
+    /// Returns what this VM knows of a job's recorded leader, for the log of a takeover.
+    fn leader_view(&self, job: &JobName, entry: &JobEntry) -> LeaderView {
+        let leader = VmId::from(entry.head.lead.as_str());
+        let dispatcher = self.dispatcher.borrow();
+        let now = monotonic();
+        let missing_since = self.jobs.leader_missing_since.borrow().get(job).copied();
+        LeaderView {
+            is_published: self.peering.is_member(&leader, entry.head.lead_incarnation),
+            is_live: dispatcher.is_live(&leader),
+            missing_for: now.saturating_sub(missing_since.unwrap_or(now)),
+            live_vms: dispatcher.live_vm_count(),
+        }
+    }
+
     /// Starts the task that leads a job.
     pub(crate) fn start_leader(self: &Rc<Self>, state: LeaderState) {
         let job = state.job.clone();
@@ -212,12 +235,14 @@
         return Ok(());
     }
     let previous = entry.head.lead.clone();
+    let seen = core.leader_view(job, &entry);
     entry.head.lead = core.settings.vm.as_str().to_owned();
     entry.head.lead_incarnation = core.incarnation;
     let transaction = RowTransaction::in_partition(&job.partition())
         .expect(JOB_TABLE, &job.head_key(), entry.head_version)
         .write(JOB_TABLE, &job.head_key(), encode(&entry.head));
     entry.head_version = core.rows.transact(&transaction).await?;
+    let claimed_version = entry.head_version;
     core.record_job(job, &entry);
     let items = core.read_inputs(job).await?;
     // The progress is read after the head was written, so the earlier leader can commit nothing more.
@@ -228,7 +253,9 @@
     let partials = read_partials(&join_chunks(&rows), items.len());
     log::info!(
         job = job.as_str(), before = previous, listed = committed.len() as u64,
-        head_version = entry.head_version;
+        claimed_version = claimed_version, head_version = entry.head_version,
+        previous_is_published = seen.is_published, previous_is_live = seen.is_live,
+        previous_missing_ms = seen.missing_for.as_millis() as u64, live_vms = seen.live_vms as u64;
         "job taken over"
     );
     if entry.is_open() && !core.is_stopping() {
