Members: only the incarnation that wrote an entry removes it, and a missing one is written again

A stopped VM deletes its entry in the member table without a condition. If the call gets no response and takes effect seconds later, it removes the entry of the VM's successor. Publication ended with its first success, so the entry stayed away: the others neither report to that VM nor accept its certificate, and quotas and cold starts are shared out without it. A publication that takes effect late did the same the other way round, by bringing back the entry of a process that has ended.

Every write and deletion now expects the version that it was decided on, so one that is late finds another version. A VM compares the followed table with itself every 0.5 s, and reads and writes its entry again if it is gone. Incarnations of one name are ordered by the version of the store that they read first: the earlier of two processes gives way and claims no jobs, so they do not overwrite each other. The order stands behind the entry, where earlier releases ignore it, and entries without it are read as the earliest.

--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -86,7 +86,7 @@
 
     /// Claims each unfinished job that this VM should lead.
     fn check_leaders(self: &Rc<Self>) {
-        if self.is_stopping() {
+        if self.is_stopping() || self.peering.is_superseded() {
             return;
         }
         let open = self.jobs.index.borrow().open_jobs();
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod leases;
 mod load;
 mod logs;
+mod member_entry;
 mod metrics;
 mod peering;
 mod prompt_failures;
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -6,47 +6,35 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
 use rcgen::{CertificateParams, DistinguishedName, DnType, KeyPair};
-use serde::{Deserialize, Serialize};
 
 use crate::gateway::followers::{FeedPacing, TableUpdate};
 use crate::gateway::handle::GatewaySettings;
 use crate::gateway::load::LoadUpdate;
+use crate::gateway::member_entry::{EntryAction, GatewayMember, MemberGeneration, entry_action};
 use crate::gateway::report_exchange::{forward_reports, report_load};
 use crate::gateway::report_routes::{ReportMember, ReportRoutes};
 use crate::gateway::runtime::GatewayCore;
-use crate::ids::{DataCentreId, VmId};
+use crate::ids::VmId;
 use crate::peers::messages::{PeerDatagram, PeerReply, PeerRequest};
 use crate::peers::{PeerEndpoint, PeerEvents, TlsIdentity};
-use crate::platform::rows::{RowError, RowTransaction};
+use crate::platform::rows::{RowError, RowResult, RowTransaction, StoredRow};
 
 /// The table in which VMs publish themselves.
 pub(crate) const MEMBER_TABLE: &str = "gateway_members";
 /// Minimum interval between connection attempts to one VM.
 const RECONNECT_INTERVAL: Duration = Duration::from_secs(1);
-const PUBLISH_RETRY_DELAY: Duration = Duration::from_millis(300);
-
-/// The entry that a VM publishes about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct GatewayMember {
-    /// The name of the VM.
-    pub(crate) vm: VmId,
-    /// Differs for each start of the VM.
-    pub(crate) incarnation: u64,
-    /// The data centre of the VM.
-    pub(crate) data_centre: DataCentreId,
-    /// The VM's processor share in thousandths of a core.
-    pub(crate) capacity: u32,
-    /// The address for messages from other VMs.
-    pub(crate) address: SocketAddr,
-    /// The certificate of the VM, in PEM.
-    pub(crate) certificate: String,
-}
+/// Initial and maximum delay before a failed publication is retried; the delay doubles after each failure.
+const PUBLISH_RETRY_DELAYS: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_millis(1200));
+/// Interval at which a VM compares its entry in the followed table with itself.
+const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Limit for the time in which a stopping VM removes its entry.
+const UNPUBLISH_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The connections to other gateways.
 pub(crate) struct GatewayPeering {
@@ -55,6 +43,11 @@
     private_key: String,
     members: RefCell<HashMap<String, GatewayMember>>,
     has_member_list: Cell<bool>,
+    /// Generation of this VM, from its first read of the store on.
+    generation: Cell<Option<MemberGeneration>>,
+    /// Version of this VM's row when it last held the entry of this incarnation.
+    own_version: Cell<Option<u64>>,
+    is_superseded: Cell<bool>,
     last_connect_attempt: RefCell<HashMap<VmId, Duration>>,
     pub(crate) routes: RefCell<ReportRoutes>,
 }
@@ -96,6 +89,9 @@
             private_key,
             members: RefCell::default(),
             has_member_list: Cell::new(false),
+            generation: Cell::new(None),
+            own_version: Cell::new(None),
+            is_superseded: Cell::new(false),
             last_connect_attempt: RefCell::default(),
             routes,
         })
@@ -130,6 +126,26 @@
         self.members.borrow().contains_key(vm.as_str())
     }
 
+    /// Returns whether a later incarnation of this VM has published itself.
+    pub(crate) fn is_superseded(&self) -> bool {
+        self.is_superseded.get()
+    }
+
+    /// Returns whether the followed table shows the entry of this incarnation.
+    fn is_own_entry_listed(&self) -> bool {
+        self.is_member(&self.own.vm, self.own.incarnation)
+    }
+
+    /// Returns the generation of this VM. `store_version` is the version of the read that led here; the first
+    /// one sets the generation.
+    fn own_generation(&self, store_version: u64) -> MemberGeneration {
+        let first_read =
+            MemberGeneration { first_version: store_version, incarnation: self.own.incarnation };
+        let generation = self.generation.get().unwrap_or(first_read);
+        self.generation.set(Some(generation));
+        generation
+    }
+
     fn apply_update(&self, update: TableUpdate) {
         let rows = match update {
             TableUpdate::Snapshot(rows) => {
@@ -140,11 +156,10 @@
             TableUpdate::Changed(rows) => rows,
         };
         for row in rows {
-            let member = postcard::from_bytes::<GatewayMember>(&row.value);
             let mut members = self.members.borrow_mut();
-            let previous = match member {
-                Ok(member) if !row.deleted => members.insert(row.key, member),
-                _ => members.remove(&row.key),
+            let previous = match decode_member(&row) {
+                Some((member, _)) => members.insert(row.key, member),
+                None => members.remove(&row.key),
             };
             if let Some(previous) = previous {
                 self.routes.borrow_mut().reset_vm(&previous.vm);
@@ -241,7 +256,7 @@
     pub(crate) fn spawn_peering(self: &Rc<Self>) {
         let events = Rc::new(GatewayPeerEvents(Rc::clone(self)));
         tokio::task::spawn_local(self.peering.endpoint.clone().serve(events));
-        tokio::task::spawn_local(publish(Rc::clone(self)));
+        tokio::task::spawn_local(keep_published(Rc::clone(self)));
         let follower = self.follow(MEMBER_TABLE, vec![String::new()], FeedPacing::Rare);
         tokio::task::spawn_local(follower.run(|core, update, _| {
             core.peering.apply_update(update);
@@ -251,34 +266,129 @@
         tokio::task::spawn_local(forward_reports(Rc::clone(self)));
     }
 
-    /// Removes the member entry of this VM on a planned stop.
+    /// Removes the entry of this incarnation on a planned stop.
     pub(crate) async fn unpublish(&self) {
         let own = &self.peering.own;
-        let transaction = RowTransaction::in_partition("").delete(MEMBER_TABLE, own.vm.as_str());
-        if let Err(error) = self.rows.transact(&transaction).await {
-            log::warn!(error = error.to_string(); "member entry could not be removed");
+        let outcome = tokio::time::timeout(UNPUBLISH_TIMEOUT, self.delete_own_entry()).await;
+        let outcome = outcome.unwrap_or_else(|_| {
+            Err(RowError::Unknown(format!("no response within {UNPUBLISH_TIMEOUT:?}")))
+        });
+        match outcome {
+            Ok(()) => {}
+            Err(RowError::Conflict) => {
+                log::info!(vm = own.vm.as_str(); "member entry not removed: it is no longer this VM's");
+            }
+            Err(error) => {
+                log::warn!(
+                    vm = own.vm.as_str(), error = error.to_string();
+                    "member entry not removed; it stays until the VM starts again"
+                );
+            }
         }
     }
-}
 
-async fn publish(core: Rc<GatewayCore>) {
-    let own = &core.peering.own;
-    let row = postcard::to_stdvec(own).unwrap_or_default();
-    let transaction = RowTransaction::in_partition("").write(MEMBER_TABLE, own.vm.as_str(), row);
-    loop {
-        match core.rows.transact(&transaction).await {
-            Ok(version) => {
-                log::info!(vm = own.vm.as_str(), version = version; "member entry published");
-                return;
+    async fn delete_own_entry(&self) -> RowResult<()> {
+        let own = &self.peering.own;
+        let version = if let Some(version) = self.peering.own_version.get() {
+            version
+        } else {
+            // A publication whose response was lost may have been applied.
+            let (stored, _) = self.read_own_entry().await?;
+            match stored {
+                Some((generation, version)) if generation.incarnation == own.incarnation => version,
+                _ => return Ok(()),
+            }
+        };
+        let transaction = RowTransaction::in_partition("")
+            .expect(MEMBER_TABLE, own.vm.as_str(), version)
+            .delete(MEMBER_TABLE, own.vm.as_str());
+        self.rows.transact(&transaction).await.map(|_| ())
+    }
+
+    /// Reads the row of this VM. Returns its generation and version, and the version of the store.
+    async fn read_own_entry(&self) -> RowResult<(Option<(MemberGeneration, u64)>, u64)> {
+        let vm = self.peering.own.vm.as_str();
+        // The smallest possible next key: keys contain no character that sorts before the space.
+        let page = self.rows.range(MEMBER_TABLE, "", vm, &format!("{vm} ")).await?;
+        let row = page.rows.iter().find(|row| row.key == vm);
+        // An unreadable row is replaced like that of an earlier incarnation.
+        let stored = row.map(|row| {
+            let generation = decode_member(row).map(|(_, generation)| generation);
+            (generation.unwrap_or_default(), row.version)
+        });
+        Ok((stored, page.version))
+    }
+
+    /// Makes sure that the store holds the entry of this incarnation, unless a later one has published
+    /// itself.
+    async fn publish_entry(&self) -> RowResult<()> {
+        let peering = &self.peering;
+        let vm = peering.own.vm.as_str();
+        let (stored, store_version) = self.read_own_entry().await?;
+        let generation = peering.own_generation(store_version);
+        let action = entry_action(generation, stored);
+        let was_superseded = peering.is_superseded.replace(action == EntryAction::Yield);
+        match action {
+            EntryAction::Keep => peering.own_version.set(stored.map(|(_, version)| version)),
+            EntryAction::Yield if was_superseded => {}
+            EntryAction::Yield => {
+                log::warn!(
+                    vm = vm, first_version = generation.first_version;
+                    "a later incarnation of this VM is published; this one leads no jobs any more"
+                );
+            }
+            EntryAction::Publish { expected } => {
+                // Until the outcome is known, a deletion has to read the version first.
+                peering.own_version.set(None);
+                let transaction = RowTransaction::in_partition("")
+                    .expect(MEMBER_TABLE, vm, expected)
+                    .write(MEMBER_TABLE, vm, peering.own.encode(generation.first_version));
+                let version = self.rows.transact(&transaction).await?;
+                peering.own_version.set(Some(version));
+                log::info!(vm = vm, version = version, replaced_version = expected; "member entry published");
             }
-            Err(error @ (RowError::Refused(_) | RowError::Unknown(_))) => {
-                log::warn!(error = error.to_string(); "member entry could not be published; retrying");
+        }
+        Ok(())
+    }
+}
+
+/// Publishes this VM, and again whenever the followed table no longer shows its entry.
+async fn keep_published(core: Rc<GatewayCore>) {
+    let mut retry_delay = PUBLISH_RETRY_DELAYS.0;
+    while !core.is_stopping() {
+        match core.publish_entry().await {
+            Ok(()) => {
+                retry_delay = PUBLISH_RETRY_DELAYS.0;
+                tokio::time::sleep(ENTRY_CHECK_INTERVAL).await;
+                while core.peering.is_own_entry_listed() {
+                    tokio::time::sleep(ENTRY_CHECK_INTERVAL).await;
+                }
             }
             Err(error) => {
-                log::error!(error = error.to_string(); "member entry rejected; other VMs will not find this one");
-                return;
+                log::warn!(
+                    error = error.to_string(), retry_ms = retry_delay.as_millis() as u64;
+                    "member entry could not be published; retrying"
+                );
+                tokio::time::sleep(retry_delay).await;
+                retry_delay = (retry_delay * 2).min(PUBLISH_RETRY_DELAYS.1);
             }
         }
-        tokio::time::sleep(PUBLISH_RETRY_DELAY).await;
+    }
+}
+
+/// Decodes a row of the member table; `None` if it was deleted or names no VM.
+fn decode_member(row: &StoredRow) -> Option<(GatewayMember, MemberGeneration)> {
+    if row.deleted {
+        return None;
+    }
+    match GatewayMember::decode(&row.value) {
+        Ok(member) => Some(member),
+        Err(reason) => {
+            log::error!(
+                key = row.key, version = row.version, reason = reason;
+                "member entry unreadable; it names no VM"
+            );
+            None
+        }
     }
 }
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -20,7 +20,14 @@
 use crate::gateway::tests::catalog::{config, route};
 use crate::gateway::transport::{ResponseMeaning, TargetAttempt, TargetResponse, TargetTransport};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
-use crate::platform::rows::{RowError, RowPage, RowResult, RowStore, RowTransaction, StoredRow};
+use crate::platform::rows::{
+    RowError, RowId, RowPage, RowResult, RowStore, RowTransaction, StoredRow,
+};
+
+/// Time that other calls to the store take.
+const CALL_TIME: Duration = Duration::from_millis(4);
+/// Time that a read of [`FakeStore::slow_table`] takes.
+pub(super) const SLOW_READ_TIME: Duration = Duration::from_secs(3);
 
 type RowKey = (String, String, String);
 
@@ -33,6 +40,14 @@
     changed: Notify,
     /// Number of transactions whose response will be lost although they take effect.
     pub(super) lost_responses: Cell<u32>,
+    /// The table whose next transaction is withheld: it gets no response and takes effect in
+    /// [`Self::apply_withheld`].
+    pub(super) withheld_table: Cell<&'static str>,
+    withheld: RefCell<Vec<RowTransaction>>,
+    /// The table whose writes are refused.
+    pub(super) refused_table: Cell<&'static str>,
+    /// The table whose reads take [`SLOW_READ_TIME`].
+    pub(super) slow_table: Cell<&'static str>,
     /// The table whose feeds stall, as on a connection that breaks without an error.
     pub(super) silent_table: Cell<&'static str>,
     /// Whether every call is refused.
@@ -73,6 +88,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the content of a row in the partition without a name.
+    pub(super) fn row(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let name = (table.to_owned(), String::new(), key.to_owned());
+        self.rows.borrow().get(&name).map(|(value, _)| value.clone())
+    }
+
     /// Returns the keys of a table.
     pub(super) fn keys(&self, table: &str) -> Vec<String> {
         let rows = self.rows.borrow();
@@ -87,6 +108,36 @@
         })
     }
 
+    /// Applies the transactions that were withheld and whose conditions still hold. Returns how many did.
+    pub(super) fn apply_withheld(&self) -> usize {
+        let withheld = self.withheld.take();
+        withheld.iter().filter(|transaction| self.apply(transaction).is_ok()).count()
+    }
+
+    fn apply(&self, transaction: &RowTransaction) -> RowResult<u64> {
+        if !self.check(transaction) {
+            return Err(RowError::Conflict);
+        }
+        let version = self.next_version();
+        for (id, value) in &transaction.writes {
+            self.set(id.table, &transaction.partition, &id.key, Some(value.clone()), version);
+        }
+        for id in &transaction.deletes {
+            self.set(id.table, &transaction.partition, &id.key, None, version);
+        }
+        self.changed.notify_waiters();
+        Ok(version)
+    }
+
+    fn withholds(&self, transaction: &RowTransaction) -> bool {
+        let mut rows = transaction.writes.iter().map(|(id, _)| id).chain(&transaction.deletes);
+        let withholds = rows.any(|id| id.table == self.withheld_table.get());
+        if withholds {
+            self.withheld_table.set("");
+        }
+        withholds
+    }
+
     fn page(&self, rows: Vec<StoredRow>) -> RowPage {
         let store_time = crate::clock::monotonic() + Duration::from_secs(50);
         RowPage { rows, version: self.version.get(), store_time, has_more: false }
@@ -99,21 +150,17 @@
         transaction: &'a RowTransaction,
     ) -> LocalBoxFuture<'a, RowResult<u64>> {
         Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(4)).await;
-            if self.refuses.get() {
+            tokio::time::sleep(CALL_TIME).await;
+            let is_refused = |(id, _): &(RowId, _)| id.table == self.refused_table.get();
+            if self.refuses.get() || transaction.writes.iter().any(is_refused) {
                 return Err(RowError::Refused("busy".to_owned()));
             }
-            if !self.check(transaction) {
-                return Err(RowError::Conflict);
-            }
-            let version = self.next_version();
-            for (id, value) in &transaction.writes {
-                self.set(id.table, &transaction.partition, &id.key, Some(value.clone()), version);
-            }
-            for id in &transaction.deletes {
-                self.set(id.table, &transaction.partition, &id.key, None, version);
+            if self.withholds(transaction) {
+                self.withheld.borrow_mut().push(transaction.clone());
+                tokio::time::sleep(Duration::from_millis(1500)).await;
+                return Err(RowError::Unknown("the response was withheld".to_owned()));
             }
-            self.changed.notify_waiters();
+            let version = self.apply(transaction)?;
             if self.lost_responses.get() > 0 {
                 self.lost_responses.set(self.lost_responses.get() - 1);
                 return Err(RowError::Unknown("the response was lost".to_owned()));
@@ -130,7 +177,8 @@
         to: &'a str,
     ) -> LocalBoxFuture<'a, RowResult<RowPage>> {
         Box::pin(async move {
-            tokio::time::sleep(Duration::from_millis(4)).await;
+            let is_slow = self.slow_table.get() == table;
+            tokio::time::sleep(if is_slow { SLOW_READ_TIME } else { CALL_TIME }).await;
             if self.refuses.get() {
                 return Err(RowError::Refused("busy".to_owned()));
             }
--- a/crates/ebonydock/src/gateway/tests/mod.rs
+++ b/crates/ebonydock/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod fakes;
 mod jobs;
 mod load;
+mod membership;
 mod prompt_fleet;
 mod quarantine;
 mod quota;
