Jobs: a leader holds its jobs by a lease in the store, not by being heard

A VM that heard nobody took itself for the owner of every job, took each one from its leader, and so cut all of its items; its former leader, which did not hear it either, took the job back.

On the code before, `vms_that_do_not_hear_each_other_leave_jobs_with_their_leaders` fails; `job_that_changes_hands_gets_time_to_finish_items` fails there too, but only because jobs have no record of their takeovers there.

A VM that leads jobs renews one row each second, for all of its jobs. A silent leader is replaced only once its lease has ended, so reports alone cause no takeover; each further takeover of a job without a committed result in between waits longer, from 2 s to 16 s, whatever its cause.

--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -7,24 +7,24 @@
 use crate::clock::monotonic;
 use crate::gateway::followers::{FeedPacing, TableUpdate};
 use crate::gateway::job_leader::{JobLeader, LeaderState, handover_transaction, read_partials};
+use crate::gateway::job_lease::{
+    ClaimDecision, LEAD_TABLE, LeadClock, LeadState, LeadStep, LeaderSight,
+};
 use crate::gateway::job_records::{
-    INPUT_TABLE, JOB_TABLE, JobEntry, JobName, PARTIAL_TABLE, RESULT_TABLE, encode, job_partitions,
-    join_chunks,
+    INPUT_TABLE, JOB_TABLE, JobEntry, JobHead, JobName, PARTIAL_TABLE, RESULT_TABLE, decode,
+    encode, job_partitions, join_chunks,
 };
 use crate::gateway::job_service::{RunningLeader, StartingGuard};
+use crate::gateway::lease_rows::keep_lease;
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::VmId;
 use crate::ownership::owner_of;
-use crate::platform::rows::{RowResult, RowTransaction};
+use crate::platform::rows::{RowError, RowResult, RowTransaction};
 
 /// Interval between checks for jobs without a live leader.
 const LEADER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// A leader is replaced when its last report expired this long ago. If it was only paused, its writes
-/// fail because the head row has a new version; replacing it too early only repeats work.
-const LEADER_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time after its start during which a VM replaces no silent leaders, because reports of the other VMs
-/// may not have arrived yet.
-const STARTUP_GRACE: Duration = Duration::from_millis(2500);
+/// Delay before a VM that could not claim a job tries again.
+const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Jobs are deleted this long after their retention has ended.
 const RETENTION_MARGIN: Duration = Duration::from_mins(1);
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(20);
@@ -35,7 +35,7 @@
 struct LeaderView {
     is_published: bool,
     is_live: bool,
-    missing_for: Duration,
+    silent_for: Duration,
     /// Number of other VMs whose reports arrive.
     live_vms: usize,
 }
@@ -46,6 +46,7 @@
         let follower = self.follow(JOB_TABLE, job_partitions(), FeedPacing::Relaxed);
         *self.jobs.refreshed_at.borrow_mut() = follower.last_response_at();
         tokio::task::spawn_local(follower.run(|core, update, _| core.apply_job_changes(update)));
+        tokio::task::spawn_local(keep_lease(Rc::clone(self)));
         let core = Rc::clone(self);
         tokio::task::spawn_local(async move {
             loop {
@@ -85,64 +86,55 @@
     }
 
     /// Claims each unfinished job that this VM should lead.
-    fn check_leaders(self: &Rc<Self>) {
+    pub(crate) fn check_leaders(self: &Rc<Self>) {
         if self.is_stopping() || self.peering.is_superseded() {
             return;
         }
         let open = self.jobs.index.borrow().open_jobs();
-        self.jobs.leader_missing_since.borrow_mut().retain(|job, _| open.contains(job));
+        self.jobs.claims.borrow_mut().retain(&open);
         for job in open {
-            if self.jobs.leaders.borrow().contains_key(&job) || !self.should_lead(&job) {
+            if self.jobs.leaders.borrow().contains_key(&job)
+                || self.jobs.claims.borrow().is_deferred(&job, monotonic())
+            {
                 continue;
             }
-            if self.jobs.starting.borrow_mut().insert(job.clone()) {
-                tokio::task::spawn_local(claim_leadership(Rc::clone(self), job));
+            match self.lead_step(&job) {
+                LeadStep::Leave => {}
+                LeadStep::ReadLease(vm) => self.spawn_lease_read(vm),
+                LeadStep::Claim => {
+                    if self.jobs.starting.borrow_mut().insert(job.clone()) {
+                        tokio::task::spawn_local(claim_leadership(Rc::clone(self), job));
+                    }
+                }
             }
         }
     }
 
-    /// Whether this VM should lead a job: it is the recorded leader, or the leader is lost and this VM is
-    /// the job's owner among the live VMs.
-    fn should_lead(&self, job: &JobName) -> bool {
-        let now = monotonic();
+    fn lead_step(&self, job: &JobName) -> LeadStep {
         let Some(head) = self.jobs.index.borrow().get(job).map(|entry| entry.head.clone()) else {
-            return false;
+            return LeadStep::Leave;
         };
         let leader = VmId::from(head.lead.as_str());
-        let is_own = leader == self.settings.vm;
-        if is_own && head.lead_incarnation == self.incarnation {
-            return true;
-        }
+        let dispatcher = self.dispatcher.borrow();
         let is_published = self.peering.is_member(&leader, head.lead_incarnation);
-        if !is_own && is_published && self.dispatcher.borrow().is_live(&leader) {
-            self.jobs.leader_missing_since.borrow_mut().remove(job);
-            return false;
-        }
-        let missing_since =
-            *self.jobs.leader_missing_since.borrow_mut().entry(job.clone()).or_insert(now);
-        // A leader that handed the job over or restarted no longer runs it, so no timeout applies.
-        let has_restarted = self.peering.knows(&leader) && !is_published;
-        let is_gone = head.lead.is_empty() || is_own || has_restarted;
-        if !is_gone
-            && (now < missing_since + LEADER_TIMEOUT || now < self.started_at + STARTUP_GRACE)
-        {
-            return false;
-        }
-        let mut candidates = self.dispatcher.borrow().live_vms();
+        let mut candidates = dispatcher.live_vms();
         candidates.push(self.settings.vm.clone());
-        owner_of(job.as_str(), &candidates) == Some(&self.settings.vm)
+        let sight = LeaderSight {
+            is_reporting: is_published && dispatcher.is_live(&leader),
+            is_owner: owner_of(job.as_str(), &candidates) == Some(&self.settings.vm),
+        };
+        let clock = LeadClock { store: self.store_time(), monotonic: monotonic() };
+        self.jobs.claims.borrow_mut().step(job, &head, sight, clock)
     }
 
     /// Returns what this VM knows of a job's recorded leader, for the log of a takeover.
     fn leader_view(&self, job: &JobName, entry: &JobEntry) -> LeaderView {
         let leader = VmId::from(entry.head.lead.as_str());
         let dispatcher = self.dispatcher.borrow();
-        let now = monotonic();
-        let missing_since = self.jobs.leader_missing_since.borrow().get(job).copied();
         LeaderView {
             is_published: self.peering.is_member(&leader, entry.head.lead_incarnation),
             is_live: dispatcher.is_live(&leader),
-            missing_for: now.saturating_sub(missing_since.unwrap_or(now)),
+            silent_for: self.jobs.claims.borrow().silent_for(job, monotonic()),
             live_vms: dispatcher.live_vm_count(),
         }
     }
@@ -209,7 +201,7 @@
 
     async fn delete_job(&self, job: &JobName) -> RowResult<()> {
         // The head is deleted last: without it, no VM would find the remaining rows.
-        for table in [INPUT_TABLE, RESULT_TABLE, PARTIAL_TABLE, JOB_TABLE] {
+        for table in [INPUT_TABLE, RESULT_TABLE, PARTIAL_TABLE, LEAD_TABLE, JOB_TABLE] {
             let rows = self.read_rows(table, job, &job.range_start()).await?;
             for rows in rows.chunks(MAX_DELETE_ROWS) {
                 let transaction = RowTransaction::in_partition(&job.partition());
@@ -219,6 +211,21 @@
         }
         Ok(())
     }
+
+    /// Decides whether this VM may claim a job, from the rows of the job and its leader.
+    async fn decide_claim(&self, job: &JobName, entry: &JobEntry) -> RowResult<ClaimDecision> {
+        let rows = self.read_rows(LEAD_TABLE, job, &job.range_start()).await?;
+        let record = rows.first().map(|row| decode(&row.value)).transpose();
+        let lease =
+            self.jobs.claims.borrow().leases.last_read(&VmId::from(entry.head.lead.as_str()));
+        let state = LeadState {
+            head: &entry.head,
+            listed: entry.progress.listed,
+            record: record.map_err(RowError::Refused)?,
+            lease,
+        };
+        Ok(state.decide(self.settings.vm.as_str(), self.incarnation, self.store_time()))
+    }
 }
 
 /// Makes this VM the leader of a job and starts to run it.
@@ -226,24 +233,38 @@
     let starting = StartingGuard { core, job };
     if let Err(error) = try_claim_leadership(&starting.core, &starting.job).await {
         log::info!(job = starting.job.as_str(), error = error.to_string(); "job not taken over");
+        let mut claims = starting.core.jobs.claims.borrow_mut();
+        claims.defer(&starting.job, monotonic() + CLAIM_RETRY_DELAY);
     }
 }
 
 async fn try_claim_leadership(core: &Rc<GatewayCore>, job: &JobName) -> RowResult<()> {
+    let seen_head = core.jobs.index.borrow().get(job).map(|entry| entry.head.clone());
     let Some(mut entry) = core.read_job(job).await? else { return Ok(()) };
-    if !entry.is_open() || !core.should_lead(job) {
+    let leader_of = |head: &JobHead| (head.lead.clone(), head.lead_incarnation);
+    // The lease that was read is that of the leader in the index.
+    let has_new_leader = seen_head.as_ref().map(leader_of) != Some(leader_of(&entry.head));
+    if !entry.is_open() || has_new_leader || matches!(core.lead_step(job), LeadStep::Leave) {
         return Ok(());
     }
+    let (reason, record) = match core.decide_claim(job, &entry).await? {
+        ClaimDecision::Claim(reason, record) => (reason, record),
+        ClaimDecision::Wait(until) => {
+            core.jobs.claims.borrow_mut().defer(job, core.local_time(until));
+            return Ok(());
+        }
+    };
     let previous = entry.head.lead.clone();
     let seen = core.leader_view(job, &entry);
     entry.head.lead = core.settings.vm.as_str().to_owned();
     entry.head.lead_incarnation = core.incarnation;
     let transaction = RowTransaction::in_partition(&job.partition())
         .expect(JOB_TABLE, &job.head_key(), entry.head_version)
-        .write(JOB_TABLE, &job.head_key(), encode(&entry.head));
+        .write(JOB_TABLE, &job.head_key(), encode(&entry.head))
+        .write(LEAD_TABLE, &job.lead_key(), encode(&record));
     entry.head_version = core.rows.transact(&transaction).await?;
-    let claimed_version = entry.head_version;
     core.record_job(job, &entry);
+    let claimed_version = entry.head_version;
     let items = core.read_inputs(job).await?;
     // The progress is read after the head was written, so the earlier leader can commit nothing more.
     let Some(entry) = core.read_job(job).await? else { return Ok(()) };
@@ -252,10 +273,11 @@
     let rows = core.read_rows(PARTIAL_TABLE, job, &job.range_start()).await?;
     let partials = read_partials(&join_chunks(&rows), items.len());
     log::info!(
-        job = job.as_str(), before = previous, listed = committed.len() as u64,
+        job = job.as_str(), before = previous, reason = reason.as_str(),
+        takeovers = record.takeovers, listed = committed.len() as u64,
         claimed_version = claimed_version, head_version = entry.head_version,
         previous_is_published = seen.is_published, previous_is_live = seen.is_live,
-        previous_missing_ms = seen.missing_for.as_millis() as u64, live_vms = seen.live_vms as u64;
+        previous_silent_ms = seen.silent_for.as_millis() as u64, live_vms = seen.live_vms as u64;
         "job taken over"
     );
     if entry.is_open() && !core.is_stopping() {
--- a/crates/ebonydock/src/gateway/job_records.rs
+++ b/crates/ebonydock/src/gateway/job_records.rs
@@ -155,6 +155,10 @@
         format!("{}/progress", self.0)
     }
 
+    pub(crate) fn lead_key(&self) -> String {
+        format!("{}/lead", self.0)
+    }
+
     pub(crate) fn numbered_key(&self, number: usize) -> String {
         format!("{}/{number:06}", self.0)
     }
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -10,11 +10,13 @@
 
 use crate::gateway::job_cache::ResultCache;
 use crate::gateway::job_leader::SharedPartials;
+use crate::gateway::job_lease::ClaimPlanner;
 use crate::gateway::job_records::{
     INPUT_TABLE, JOB_TABLE, JobEntry, JobIndex, JobItem, JobItemResult, JobName, JobProgress,
     RESULT_TABLE, decode, join_chunks,
 };
 use crate::gateway::runtime::GatewayCore;
+use crate::ids::VmId;
 use crate::platform::rows::{RowError, RowResult, StoredRow, read_all};
 
 /// Handle of a leader that runs on this VM.
@@ -36,14 +38,14 @@
 }
 
 /// State that a VM holds on batch jobs.
-#[derive(Default)]
 pub(crate) struct JobService {
     pub(crate) index: RefCell<JobIndex>,
     pub(crate) leaders: RefCell<HashMap<JobName, RunningLeader>>,
     /// Jobs that this VM is submitting or claiming.
     pub(crate) starting: RefCell<HashSet<JobName>>,
-    /// When the leaders of jobs were first seen missing, by the monotonic clock.
-    pub(crate) leader_missing_since: RefCell<HashMap<JobName, Duration>>,
+    pub(crate) claims: RefCell<ClaimPlanner>,
+    /// VMs whose leases are being read.
+    pub(crate) reading_leases: RefCell<HashSet<VmId>>,
     pub(crate) cache: RefCell<ResultCache>,
     /// Items of the jobs that this VM leads.
     pub(crate) inputs: RefCell<HashMap<JobName, Rc<Vec<JobItem>>>>,
@@ -75,6 +77,22 @@
 const MIN_REMAINING_FRACTION: f64 = 0.15;
 
 impl JobService {
+    /// Opens the state of a VM's incarnation, which knows no jobs yet.
+    pub(crate) fn open(vm: &VmId, incarnation: u64) -> Self {
+        Self {
+            index: RefCell::default(),
+            leaders: RefCell::default(),
+            starting: RefCell::default(),
+            claims: RefCell::new(ClaimPlanner::open(vm, incarnation)),
+            reading_leases: RefCell::default(),
+            cache: RefCell::default(),
+            inputs: RefCell::default(),
+            refreshed_at: RefCell::default(),
+            item_stats: Cell::default(),
+            changed: Notify::default(),
+        }
+    }
+
     /// Returns the estimated remaining run time of an item that has produced `events` events.
     pub(crate) fn remaining_item_time(&self, events: u64) -> Duration {
         let stats = self.item_stats.get();
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -121,11 +121,6 @@
         members.get(vm.as_str()).is_some_and(|member| member.incarnation == incarnation)
     }
 
-    /// Returns whether a VM is published with any incarnation.
-    pub(crate) fn knows(&self, vm: &VmId) -> bool {
-        self.members.borrow().contains_key(vm.as_str())
-    }
-
     /// Returns whether a later incarnation of this VM has published itself.
     pub(crate) fn is_superseded(&self) -> bool {
         self.is_superseded.get()
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -14,13 +14,13 @@
 use crate::gateway::request::TokenDemand;
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, request, run};
 
-const ITEMS: u32 = 5;
+pub(super) const ITEMS: u32 = 5;
 
-fn key() -> KeyHash {
+pub(super) fn key() -> KeyHash {
     KeyHash::of("secret")
 }
 
-fn submission(id: &str) -> JobSubmission {
+pub(super) fn submission(id: &str) -> JobSubmission {
     let item = |index| JobItem {
         id: format!("{id}-{index}"),
         path: format!("/night/{index}"),
@@ -38,12 +38,12 @@
     }
 }
 
-fn full_output(last: u64) -> Vec<u8> {
+pub(super) fn full_output(last: u64) -> Vec<u8> {
     let lines: Vec<String> = (1..=last).map(|id| format!("piece {id}")).collect();
     lines.join("\n").into_bytes()
 }
 
-async fn all_results(gateway: &Gateway, id: &str) -> Vec<JobItemResult> {
+pub(super) async fn all_results(gateway: &Gateway, id: &str) -> Vec<JobItemResult> {
     let mut results = Vec::new();
     for _ in 0..200 {
         let after = results.len() as u32;
--- /dev/null
+++ b/crates/ebonydock/src/gateway/tests/leads.rs
@@ -0,0 +1,48 @@
+//! Tests of how jobs change hands between VMs. Gateways of one [`FakeSite`] do not hear each other.
+
+use std::time::Duration;
+
+use crate::gateway::job_lease::{LEAD_TABLE, LEASE_TABLE};
+use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, run};
+use crate::gateway::tests::jobs::{ITEMS, all_results, full_output, key, submission};
+
+/// Events of an item that runs for eight seconds.
+const LONG_ITEM: u64 = 800;
+
+/// Review case 1: VMs that do not hear each other took each job from its leader many times a second.
+#[test]
+fn vms_that_do_not_hear_each_other_leave_jobs_with_their_leaders() {
+    run(async {
+        let site =
+            FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Events(LONG_ITEM, true)));
+        let first = site.gateway("vm1").await;
+        let second = site.gateway("vm2").await;
+        first.submit_job(submission("j1")).await.unwrap();
+        second.submit_job(submission("j2")).await.unwrap();
+        for id in ["j1", "j2"] {
+            let results = all_results(&first, id).await;
+            assert!(results.iter().all(|result| result.text == full_output(LONG_ITEM)));
+        }
+        assert_eq!(site.targets.seen.borrow().len() as u32, 2 * ITEMS, "items were cut");
+        assert!(site.store.keys(LEAD_TABLE).is_empty(), "a job changed hands");
+    });
+}
+
+/// No VM can renew its lease, so the VMs go on taking the job from each other, but ever more slowly.
+#[test]
+fn job_that_changes_hands_gets_time_to_finish_items() {
+    run(async {
+        let site =
+            FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Events(LONG_ITEM, true)));
+        let first = site.gateway("vm1").await;
+        let _second = site.gateway("vm2").await;
+        site.store.refused_table.set(LEASE_TABLE);
+        first.submit_job(submission("j1")).await.unwrap();
+        let results = tokio::time::timeout(Duration::from_secs(25), all_results(&first, "j1"));
+        let results = results.await.expect("the job makes no progress");
+        assert!(results.iter().all(|result| result.text == full_output(LONG_ITEM)));
+        assert!(!site.store.keys(LEAD_TABLE).is_empty(), "the job never changed hands");
+        let attempts = site.targets.seen.borrow().len() as u32;
+        assert!(attempts <= 6 * ITEMS, "items were sent {attempts} times");
+    });
+}
--- a/crates/ebonydock/src/gateway/tests/mod.rs
+++ b/crates/ebonydock/src/gateway/tests/mod.rs
@@ -6,6 +6,8 @@
 mod emulator;
 mod fakes;
 mod jobs;
+mod lead_model;
+mod leads;
 mod load;
 mod membership;
 mod prompt_fleet;
