Jobs: a job that ends or changes hands during a takeover is not started

A VM that claimed a job read its inputs and outputs and then started it without a look at what had arrived meanwhile; the change had come before there was a leader to stop. It also took over the version of whatever head it read after its claim, which may be another VM's: both then led with one version, and fencing did not tell them apart.

Evidence: `job_that_ends_during_takeover_is_not_started` fails on the code before (items of an ended job were sent).

A leader now starts only if the index still shows the head that this VM wrote, and only with that version; the same holds for a job that was just submitted. A checkpoint that conflicts shows that the lead is lost, so the leader stops instead of running on until its feed says so.

--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -127,7 +127,10 @@
             let outcome = tokio::select! {
                 outcome = finished.recv() => outcome,
                 _ = checkpoints.tick() => {
-                    self.save_partials(&mut saved).await;
+                    if !self.save_partials(&mut saved).await {
+                        log::info!(job = self.job.as_str(); "job lead lost");
+                        return;
+                    }
                     continue;
                 }
             };
@@ -147,8 +150,8 @@
     }
 
     /// Writes a checkpoint of the items that made progress since the last one. A checkpoint only saves
-    /// work, so a failed write is not retried.
-    async fn save_partials(&self, saved: &mut [SavedProgress]) {
+    /// work, so a failed write is not retried. Returns false if this VM no longer leads the job.
+    async fn save_partials(&self, saved: &mut [SavedProgress]) -> bool {
         let mut transaction = RowTransaction::in_partition(&self.job.partition()).expect(
             JOB_TABLE,
             &self.job.head_key(),
@@ -170,7 +173,7 @@
             written.push((index, partial.progress()));
         }
         if written.is_empty() {
-            return;
+            return true;
         }
         match self.core.rows.transact(&transaction).await {
             Ok(_) => {
@@ -178,6 +181,8 @@
                     saved[index] = progress;
                 }
             }
+            // The head, on which alone the write depends, is written by claims, handovers and the job's end.
+            Err(RowError::Conflict) => return false,
             Err(error) => {
                 log::info!(
                     job = self.job.as_str(), error = error.to_string();
@@ -185,6 +190,7 @@
                 );
             }
         }
+        true
     }
 
     /// Commits as many results as fit into one transaction. Returns false if this VM no longer leads
--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -139,9 +139,23 @@
         }
     }
 
-    /// Starts the task that leads a job.
+    /// Starts the task that leads a job, unless the job has ended or changed hands since its head was written.
     pub(crate) fn start_leader(self: &Rc<Self>, state: LeaderState) {
         let job = state.job.clone();
+        let head_version = state.entry.head_version;
+        let is_current = self
+            .jobs
+            .index
+            .borrow()
+            .get(&job)
+            .is_some_and(|entry| entry.is_open() && entry.head_version == head_version);
+        if !is_current || self.is_stopping() {
+            log::info!(
+                job = job.as_str(), head_version = head_version;
+                "job not started: it has ended, another VM leads it, or this one is stopping"
+            );
+            return;
+        }
         self.jobs.inputs.borrow_mut().insert(job.clone(), Rc::clone(&state.items));
         let (leader, committed) = JobLeader::open(self, state);
         let partials = leader.partials();
@@ -280,8 +294,8 @@
         previous_silent_ms = seen.silent_for.as_millis() as u64, live_vms = seen.live_vms as u64;
         "job taken over"
     );
-    if entry.is_open() && !core.is_stopping() {
-        core.start_leader(LeaderState { job: job.clone(), entry, items, committed, partials });
-    }
+    // Another VM may have claimed the job meanwhile; its version must not become this VM's.
+    let entry = JobEntry { head_version: claimed_version, ..entry };
+    core.start_leader(LeaderState { job: job.clone(), entry, items, committed, partials });
     Ok(())
 }
--- a/crates/ebonydock/src/gateway/tests/leads.rs
+++ b/crates/ebonydock/src/gateway/tests/leads.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::gateway::job_lease::{LEAD_TABLE, LEASE_TABLE};
-use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, run};
+use crate::gateway::job_records::PARTIAL_TABLE;
+use crate::gateway::tests::fakes::{FakeSite, FakeTargets, SLOW_READ_TIME, TargetBehavior, run};
 use crate::gateway::tests::jobs::{ITEMS, all_results, full_output, key, submission};
 
 /// Events of an item that runs for eight seconds.
@@ -46,3 +47,26 @@
         assert!(attempts <= 6 * ITEMS, "items were sent {attempts} times");
     });
 }
+
+/// Items reached targets after the end of their job, because a VM that took it over had not looked at what
+/// arrived meanwhile (`gateway item after end`).
+#[test]
+fn job_that_ends_during_takeover_is_not_started() {
+    run(async {
+        let site =
+            FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Events(LONG_ITEM, true)));
+        let first = site.gateway("vm1").await;
+        let _second = site.gateway("vm2").await;
+        let third = site.gateway("vm3").await;
+        first.submit_job(submission("j1")).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        site.store.slow_table.set(PARTIAL_TABLE);
+        first.stop().await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert!(!site.store.keys(LEAD_TABLE).is_empty(), "no VM has claimed the job");
+        third.end_job(Some(&key()), "j1").await.unwrap();
+        let sent = site.targets.seen.borrow().len();
+        tokio::time::sleep(2 * SLOW_READ_TIME).await;
+        assert_eq!(site.targets.seen.borrow().len(), sent, "items of an ended job were sent");
+    });
+}
