Jobs: a late deletion of an expired job leaves a new job of the same name alone

A deletion that got no response and took effect later removed inputs of a job that was accepted under the same name meanwhile; its items could neither be read nor taken over.

Evidence: `late_deletion_of_expired_job_leaves_its_successor` fails on the code before (one withheld deletion took effect).

Each deletion expects the head that was expired. A VM that finds another head leaves the job and goes on with the next one, where it used to end the cleanup.

--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -200,25 +200,41 @@
         let expired = self.jobs.index.borrow().expired(before);
         let mut candidates = self.dispatcher.borrow().live_vms();
         candidates.push(self.settings.vm.clone());
-        for job in expired {
-            if owner_of(job.as_str(), &candidates) == Some(&self.settings.vm)
-                && let Err(error) = self.delete_job(&job).await
-            {
-                log::warn!(
-                    job = job.as_str(), error = error.to_string();
-                    "expired job not deleted; retrying at the next cleanup"
-                );
-                return;
+        for (job, head_version) in expired {
+            if owner_of(job.as_str(), &candidates) != Some(&self.settings.vm) {
+                continue;
+            }
+            match self.delete_job(&job, head_version).await {
+                Ok(()) => {}
+                Err(RowError::Conflict) => {
+                    log::info!(
+                        job = job.as_str(), head_version = head_version;
+                        "expired job not deleted: another VM deletes it, or its head has changed"
+                    );
+                }
+                Err(error) => {
+                    log::warn!(
+                        job = job.as_str(), error = error.to_string();
+                        "expired job not deleted; retrying at the next cleanup"
+                    );
+                    return;
+                }
             }
         }
     }
 
-    async fn delete_job(&self, job: &JobName) -> RowResult<()> {
+    /// Deletes the rows of a job whose head has this version. A call that takes effect late deletes nothing of
+    /// a job that was submitted under the same name meanwhile.
+    async fn delete_job(&self, job: &JobName, head_version: u64) -> RowResult<()> {
         // The head is deleted last: without it, no VM would find the remaining rows.
         for table in [INPUT_TABLE, RESULT_TABLE, PARTIAL_TABLE, LEAD_TABLE, JOB_TABLE] {
             let rows = self.read_rows(table, job, &job.range_start()).await?;
             for rows in rows.chunks(MAX_DELETE_ROWS) {
-                let transaction = RowTransaction::in_partition(&job.partition());
+                let transaction = RowTransaction::in_partition(&job.partition()).expect(
+                    JOB_TABLE,
+                    &job.head_key(),
+                    head_version,
+                );
                 let transaction = rows.iter().fold(transaction, |t, row| t.delete(table, &row.key));
                 self.rows.transact(&transaction).await?;
             }
--- a/crates/ebonydock/src/gateway/job_records.rs
+++ b/crates/ebonydock/src/gateway/job_records.rs
@@ -322,14 +322,14 @@
         open.map(|(job, _)| job.clone()).collect()
     }
 
-    /// Returns the finished jobs accepted before the given time of the store's clock; their rows may be
-    /// deleted.
-    pub(crate) fn expired(&self, accepted_before: Duration) -> Vec<JobName> {
+    /// Returns the finished jobs accepted before the given time of the store's clock, with the versions of
+    /// their heads; their rows may be deleted.
+    pub(crate) fn expired(&self, accepted_before: Duration) -> Vec<(JobName, u64)> {
         let expired = self
             .entries
             .iter()
             .filter(|(_, entry)| !entry.is_open() && entry.head.accepted_at < accepted_before);
-        expired.map(|(job, _)| job.clone()).collect()
+        expired.map(|(job, entry)| (job.clone(), entry.head_version)).collect()
     }
 
     /// Returns the tokens of a workspace's unfinished items on a route.
--- a/crates/ebonydock/src/gateway/tests/leads.rs
+++ b/crates/ebonydock/src/gateway/tests/leads.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::gateway::job_lease::{LEAD_TABLE, LEASE_TABLE};
-use crate::gateway::job_records::PARTIAL_TABLE;
+use crate::gateway::job_records::{INPUT_TABLE, PARTIAL_TABLE};
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, SLOW_READ_TIME, TargetBehavior, run};
 use crate::gateway::tests::jobs::{ITEMS, all_results, full_output, key, submission};
 
@@ -70,3 +70,25 @@
         assert_eq!(site.targets.seen.borrow().len(), sent, "items of an ended job were sent");
     });
 }
+
+/// A deletion of an expired job that takes effect late removed the inputs of a new job of the same name.
+#[test]
+fn late_deletion_of_expired_job_leaves_its_successor() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|attempt, _| match attempt.id.as_str() {
+            "j1-0" => TargetBehavior::Events(3, true),
+            _ => TargetBehavior::Whole(422, "no"),
+        }));
+        let gateway = site.gateway("vm1").await;
+        gateway.submit_job(submission("j1")).await.unwrap();
+        all_results(&gateway, "j1").await;
+        site.store.withheld_table.set(INPUT_TABLE);
+        // Retention, its margin and two cleanups.
+        tokio::time::sleep(Duration::from_secs(225)).await;
+        assert!(site.store.keys(INPUT_TABLE).is_empty(), "the job has not expired");
+        gateway.submit_job(submission("j1")).await.unwrap();
+        assert_eq!(site.store.apply_withheld(), 0);
+        let body = site.gateway("vm2").await.job_item(Some(&key()), "j1", "j1-2").await;
+        assert_eq!(body.as_deref(), Ok([2; 10].as_slice()));
+    });
+}
