Peers: reports that cannot be sent are logged

A report that a connection does not take, for example because it is larger than a datagram, was dropped without a line, and the other VM took its sender for lost. The line names the VM, the size and the reason, at most once in ten seconds.

--- a/crates/ebonydock/src/peers/endpoint.rs
+++ b/crates/ebonydock/src/peers/endpoint.rs
@@ -56,6 +56,7 @@
     client: Arc<Mutex<Option<quinn::ClientConfig>>>,
     counters: Arc<TrafficCounters>,
     drop_log: Arc<Mutex<DropLog>>,
+    unsent_log: Arc<Mutex<DropLog>>,
     /// Connections opened by this endpoint. They are served as well, since the peer also sends on them.
     outgoing: mpsc::UnboundedSender<Connection>,
     outgoing_receiver: Arc<tokio::sync::Mutex<mpsc::UnboundedReceiver<Connection>>>,
@@ -80,6 +81,7 @@
             client,
             counters: Arc::default(),
             drop_log: Arc::default(),
+            unsent_log: Arc::default(),
             outgoing,
             outgoing_receiver: Arc::new(tokio::sync::Mutex::new(outgoing_receiver)),
         })
@@ -175,18 +177,30 @@
     /// Sends a datagram encoded by [`Self::encode_datagram`], in the manner of [`Self::send_datagram`].
     pub(crate) fn send_frame(&self, vm: &VmId, address: SocketAddr, frame: bytes::Bytes) {
         if let Some(connection) = self.open_connection(vm, address) {
-            let _ = connection.send_datagram(frame);
+            self.send_over(&connection, vm, frame);
             return;
         }
         let endpoint = self.clone();
         let vm = vm.clone();
         ntex::rt::spawn(async move {
             if let Ok(connection) = endpoint.connection(&vm, address).await {
-                let _ = connection.send_datagram(frame);
+                endpoint.send_over(&connection, &vm, frame);
             }
         });
     }
 
+    fn send_over(&self, connection: &Connection, vm: &VmId, frame: bytes::Bytes) {
+        let bytes = frame.len() as u64;
+        let Err(error) = connection.send_datagram(frame) else { return };
+        let mut unsent = self.unsent_log.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = unsent.record(monotonic()) {
+            log::warn!(
+                vm = vm.as_str(), bytes = bytes, error = error.to_string(), count = count;
+                "reports not sent; other VMs may take this one for lost"
+            );
+        }
+    }
+
     /// Replaces the certificates used for new connections in both directions.
     pub(crate) fn set_identity(&self, identity: &TlsIdentity) -> Result<(), String> {
         self.endpoint.set_server_config(Some(identity.server_config()?));
