Stop: calls that still run at the end of a planned stop are answered

Here it was calls on batch jobs: once a stopping VM was idle, it removed its member entry and ended, and took calls until then. With the answer to that removal lost, it is 1.5 s; a read that waits for a result was cut after a second. Requests that had run or waited until the stop timeout were cut as well, and the handover of jobs was not bounded: with lost answers, 1.5 s for each job could exceed the grace.

Evidence: `calls_at_the_end_of_a_planned_stop_are_answered` on the code before: a call sent 3.02 s after SIGTERM was cut after 1.0 s. Requests that come late in the grace are refused at once since the balancer has left; that held before.

A planned stop now ends with a step in which nothing is taken any more: requests that no target has get 503, those that one may have run 502, calls on jobs 503 or, under way, 504; results that are awaited come back empty.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -192,10 +192,16 @@
             self.check_quarantine(&mut admitted).await?;
             self.run_attempts(admitted, &mut history).await
         };
-        let response = tokio::time::timeout(time_left, attempts).await;
-        let response = response.unwrap_or_else(|_| {
-            let reason =
-                if history.runs == 0 { RefusalReason::Busy } else { RefusalReason::TimedOut };
+        let response = tokio::select! {
+            biased;
+            // First, so that a request that still waits is not sent over a slot that another one leaves.
+            () = self.closed() => Err((RefusalReason::Stopping, RefusalReason::Failed)),
+            response = tokio::time::timeout(time_left, attempts) => {
+                response.map_err(|_| (RefusalReason::Busy, RefusalReason::TimedOut))
+            }
+        };
+        let response = response.unwrap_or_else(|(not_run, may_have_run)| {
+            let reason = if history.runs == 0 { not_run } else { may_have_run };
             Err(GatewayRefusal::of(reason))
         });
         if let (Err(refusal), Some(workspace)) = (&response, &workspace)
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -12,7 +12,7 @@
 use crate::gateway::connections::ConnectionPool;
 use crate::gateway::followers::RowDecoder;
 use crate::gateway::forward::{ForwardResponse, GatewayRefusal};
-use crate::gateway::job_api::{JobApiResult, JobResultPage};
+use crate::gateway::job_api::{JobApiResult, JobRefusal, JobResultPage};
 use crate::gateway::job_records::JobSubmission;
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
@@ -25,6 +25,9 @@
 /// are sent.
 const MIN_IDLE_BEFORE_STOP: Duration = Duration::from_millis(300);
 
+/// Limit for the time in which calls that a planned stop has ended are answered.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// The settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -100,8 +103,7 @@
     ///
     /// Returns the reason if the job was not accepted or it is unknown whether it was.
     pub async fn submit_job(&self, submission: JobSubmission) -> JobApiResult<()> {
-        let _running = self.core.count_running();
-        self.core.submit_job(submission).await
+        self.run_job_call(self.core.submit_job(submission)).await
     }
 
     /// Reads the results of a job after a position, waiting up to `wait` for the first one.
@@ -116,8 +118,7 @@
         after: u32,
         wait: Duration,
     ) -> JobApiResult<JobResultPage> {
-        let _running = self.core.count_running();
-        self.core.job_results(key, id, after, wait).await
+        self.run_job_call(self.core.job_results(key, id, after, wait)).await
     }
 
     /// Reads the body of an item of a job.
@@ -131,8 +132,7 @@
         id: &str,
         item: &str,
     ) -> JobApiResult<Bytes> {
-        let _running = self.core.count_running();
-        self.core.job_item(key, id, item).await
+        self.run_job_call(self.core.job_item(key, id, item)).await
     }
 
     /// Ends a job. Ending it again has no effect.
@@ -141,8 +141,23 @@
     ///
     /// Returns the reason if the job was not ended or it is unknown whether it was.
     pub async fn end_job(&self, key: Option<&KeyHash>, id: &str) -> JobApiResult<()> {
+        self.run_job_call(self.core.end_job(key, id)).await
+    }
+
+    /// Runs a call on a job, which ends with the planned stop of this VM at the latest.
+    async fn run_job_call<T>(
+        &self,
+        call: impl Future<Output = JobApiResult<T>>,
+    ) -> JobApiResult<T> {
         let _running = self.core.count_running();
-        self.core.end_job(key, id).await
+        if self.core.is_closed() {
+            return Err(JobRefusal::Unavailable);
+        }
+        tokio::select! {
+            biased;
+            result = call => result,
+            () = self.core.closed() => Err(JobRefusal::OutcomeUnknown),
+        }
     }
 
     /// Returns whether the balancer should send new connections to this VM.
@@ -174,13 +189,29 @@
         self.core.encode_metrics()
     }
 
-    /// Performs a planned stop: becomes not ready, hands over its jobs, and returns when no request runs
-    /// or the stop timeout has passed.
+    /// Performs a planned stop: becomes not ready, hands over its jobs, and waits until no request runs or the
+    /// stop timeout has passed. Requests that still run then are answered with a refusal.
     pub async fn stop(&self) {
         let core = &self.core;
         let began = core.begin_stop();
         log::info!(running = core.running() as u64; "gateway stopping");
-        core.hand_over_jobs().await;
+        let handover = tokio::time::timeout(core.settings.stop_timeout, core.hand_over_jobs());
+        let (handover, ()) = tokio::join!(handover, self.wait_until_idle(began));
+        if handover.is_err() {
+            log::warn!(
+                "jobs not all handed over before the stop timeout; others take them when the lease ends"
+            );
+        }
+        core.close_calls();
+        // Callers may still send requests; they are refused until the process ends.
+        tokio::join!(core.unpublish(), self.wait_for_answers());
+        core.peering.close();
+        log::info!(running = core.running() as u64; "gateway stopped");
+    }
+
+    /// Waits until no call has run for a while and callers use other VMs, at most for the stop timeout.
+    async fn wait_until_idle(&self, began: Duration) {
+        let core = &self.core;
         let mut busy_at = began;
         loop {
             let now = monotonic();
@@ -190,12 +221,21 @@
             let deregistered = now >= began + core.settings.deregistration_delay;
             let idle = now >= busy_at + MIN_IDLE_BEFORE_STOP;
             if (deregistered && idle) || now >= began + core.settings.stop_timeout {
-                break;
+                return;
             }
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
         }
-        core.unpublish().await;
-        core.peering.close();
-        log::info!(running = core.running() as u64; "gateway stopped");
+    }
+
+    /// Waits until the calls that a planned stop has ended are answered.
+    async fn wait_for_answers(&self) {
+        let answered = async {
+            while self.core.running() > 0 {
+                tokio::time::sleep(STOP_POLL_INTERVAL).await;
+            }
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        };
+        // Streams have begun and can only be broken off.
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, answered).await;
     }
 }
--- a/crates/ebonydock/src/gateway/job_api.rs
+++ b/crates/ebonydock/src/gateway/job_api.rs
@@ -271,12 +271,15 @@
                 return Ok(JobResultPage { total, next, results });
             }
             let remaining = wait_until.saturating_sub(monotonic());
-            if remaining.is_zero() || entry.head.ended || listed >= total {
+            if remaining.is_zero() || self.is_closed() || entry.head.ended || listed >= total {
                 return self.confirm_empty_page(&job, after, total).await;
             }
             // A notification between the check and the wait is missed, which delays the response by one
             // wait at most.
-            let _ = tokio::time::timeout(remaining, self.jobs.changed.notified()).await;
+            tokio::select! {
+                _ = tokio::time::timeout(remaining, self.jobs.changed.notified()) => {}
+                () = self.closed() => {}
+            }
         }
     }
 
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -8,6 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use crate::clock::monotonic;
 use crate::gateway::catalog::{GatewayConfig, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
@@ -52,6 +54,9 @@
     running: Cell<usize>,
     /// When a planned stop began; `None` while there is none.
     stopping_since: Cell<Option<Duration>>,
+    /// Whether a planned stop has ended the calls that were still running.
+    is_closed: Cell<bool>,
+    closing: Notify,
 }
 
 /// Counts a request as running until it is dropped.
@@ -98,6 +103,8 @@
             store_clock: Cell::default(),
             running: Cell::new(0),
             stopping_since: Cell::new(None),
+            is_closed: Cell::new(false),
+            closing: Notify::new(),
         });
         core.spawn_followers();
         core.spawn_peering();
@@ -148,11 +155,31 @@
         self.stopping_since.get().is_some()
     }
 
+    /// Ends all calls that still run, at the end of a planned stop.
+    pub(crate) fn close_calls(&self) {
+        self.is_closed.set(true);
+        self.closing.notify_waiters();
+    }
+
+    /// Returns whether a planned stop has ended all calls; later ones are refused.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
+
+    /// Waits until a planned stop ends all calls.
+    pub(crate) async fn closed(&self) {
+        let closing = self.closing.notified();
+        if !self.is_closed() {
+            closing.await;
+        }
+    }
+
     /// Returns whether new requests are refused: the VM is stopping and the balancer no longer sends new
     /// connections. Callers on connections that are still open then retry at another VM.
     pub(crate) fn is_refusing(&self) -> bool {
         let since = self.stopping_since.get();
-        since.is_some_and(|since| monotonic() >= since + self.settings.deregistration_delay)
+        self.is_closed()
+            || since.is_some_and(|since| monotonic() >= since + self.settings.deregistration_delay)
     }
 
     pub(crate) fn catalog(&self) -> Option<Rc<RouteCatalog>> {
--- a/crates/ebonydock/src/gateway/tests/mod.rs
+++ b/crates/ebonydock/src/gateway/tests/mod.rs
@@ -14,4 +14,5 @@
 mod quarantine;
 mod quota;
 mod reports;
+mod stop;
 mod streams;
