Queue: the placement rate of a service counts from its first placement

In its first half second a VM could refuse requests as busy although targets were about to have room: the window in which placements are counted began when the process started, so the first items or requests after that gave a rate that was too low, and the wait that was expected too long.

Evidence: `jobs::waiting_items_are_preempted_once_started` fails whenever it is the first test of its process, also on (20 of 20 runs), because the clock of the process then starts with it; as one of many it passes, which hid this. Decisions logged there: three of four waiting requests are refused at once, with an expected wait of 0.4 s. After the change it passes alone, and 30 runs with the tests of jobs, members and stops.

--- a/crates/ebonydock/src/gateway/wait_queue.rs
+++ b/crates/ebonydock/src/gateway/wait_queue.rs
@@ -77,7 +77,8 @@
     waiters: BTreeMap<WaitKey, SlotNeed>,
     /// Batch items that this VM may start before the next batch balance.
     pub(crate) batch_allowance: u32,
-    window_start: Duration,
+    /// Start of the window in which placements are counted; `None` before the first one.
+    window_start: Option<Duration>,
     window_placed: u32,
     placed_per_s: f64,
     /// Moving average of the service time of online requests, in seconds.
@@ -147,11 +148,11 @@
 
     /// Counts a placement for the placement rate.
     pub(crate) fn count_placement(&mut self, now: Duration) {
-        let elapsed = now.saturating_sub(self.window_start);
+        let elapsed = now.saturating_sub(*self.window_start.get_or_insert(now));
         if elapsed >= RATE_WINDOW {
             let rate = f64::from(self.window_placed) / elapsed.as_secs_f64();
             self.placed_per_s = f64::midpoint(self.placed_per_s, rate);
-            self.window_start = now;
+            self.window_start = Some(now);
             self.window_placed = 0;
         }
         self.window_placed += 1;
