Members: of two incarnations that read the same version, the later one wins

A VM could give way for good to its predecessor, which had ended: if nothing was written to the store between their first reads and the predecessor's publication took effect late, the random numbers of the two incarnations decided. Numbers of incarnations now begin with the time of day.

--- a/crates/ebonydock/src/clock.rs
+++ b/crates/ebonydock/src/clock.rs
@@ -25,3 +25,8 @@
 pub fn unix_millis() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_millis() as u64)
 }
+
+/// Returns the microseconds since the Unix epoch, by the wall clock.
+pub(crate) fn unix_micros() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_micros() as u64)
+}
--- a/crates/ebonydock/src/gateway/member_entry.rs
+++ b/crates/ebonydock/src/gateway/member_entry.rs
@@ -7,20 +7,31 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::clock::unix_micros;
 use crate::gateway::job_records::encode;
 use crate::ids::{DataCentreId, VmId};
 
 /// Orders the incarnations of one VM by the time of their starts.
 ///
-/// A process reads the store after its predecessor has ended, so its first version is not lower.
+/// A process reads the store after its predecessor has ended, so its first version is not lower. The versions are
+/// equal if nothing was written meanwhile; the number of the incarnation then decides.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct MemberGeneration {
     /// Version of the store when the incarnation first read it; 0 for entries of earlier releases.
     pub(crate) first_version: u64,
-    /// Distinguishes incarnations that read the same version.
+    /// Number of the incarnation, see [`new_incarnation`].
     pub(crate) incarnation: u64,
 }
 
+/// Bits of an incarnation's number that are random.
+const RANDOM_BITS: u32 = 12;
+
+/// Returns the number of a new incarnation. Numbers grow with the wall clock.
+pub(crate) fn new_incarnation() -> u64 {
+    let random = rand::random::<u64>() >> (u64::BITS - RANDOM_BITS);
+    (unix_micros() << RANDOM_BITS) | random
+}
+
 /// The entry that a VM publishes about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct GatewayMember {
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -21,6 +21,7 @@
 use crate::gateway::job_service::JobService;
 use crate::gateway::leases::{LeaseRegistry, advance_waiting, balance};
 use crate::gateway::load::LoadReport;
+use crate::gateway::member_entry::new_incarnation;
 use crate::gateway::metrics::{GatewayMetrics, GaugeValues};
 use crate::gateway::peering::GatewayPeering;
 use crate::gateway::prompt_guard::PromptGuard;
@@ -77,7 +78,7 @@
         decoder: Rc<dyn RowDecoder>,
         connections: ConnectionPool,
     ) -> Result<Rc<Self>, String> {
-        let incarnation = rand::random();
+        let incarnation = new_incarnation();
         let peering = GatewayPeering::bind(&settings, incarnation)?;
         let core = Rc::new(Self {
             dispatcher: RefCell::new(RequestDispatcher::open(
--- a/crates/ebonydock/src/gateway/tests/membership.rs
+++ b/crates/ebonydock/src/gateway/tests/membership.rs
@@ -5,7 +5,9 @@
 
 use yare::parameterized;
 
-use crate::gateway::member_entry::{EntryAction, GatewayMember, MemberGeneration, entry_action};
+use crate::gateway::member_entry::{
+    EntryAction, GatewayMember, MemberGeneration, entry_action, new_incarnation,
+};
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, run};
 use crate::ids::{DataCentreId, VmId};
 
@@ -125,6 +127,18 @@
     assert_eq!(entry_action(generation(10, 7), stored), action);
 }
 
+/// Both incarnations of a VM read the same version of the store, and the entry of the first, which has ended, was
+/// published late: the second gave way to it if its random number was lower.
+#[test]
+fn later_incarnation_wins_if_nothing_was_written_in_between() {
+    let next = |_| {
+        std::thread::sleep(Duration::from_micros(50));
+        new_incarnation()
+    };
+    let numbers: Vec<u64> = (0..100).map(next).collect();
+    assert!(numbers.is_sorted(), "{numbers:?}");
+}
+
 #[test]
 fn entry_of_earlier_release_is_decoded() {
     let address: SocketAddr = "127.0.0.1:7660".parse().unwrap();
