Jobs: owners are computed for silent leaders only, and failed reads of leases are paced

The change to leases computed the owner of each open job at each check, a hash for each VM, also while the leader is heard. A lease that cannot be read was read again at the next check; now 0.5 s later.

--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -7,9 +7,7 @@
 use crate::clock::monotonic;
 use crate::gateway::followers::{FeedPacing, TableUpdate};
 use crate::gateway::job_leader::{JobLeader, LeaderState, handover_transaction, read_partials};
-use crate::gateway::job_lease::{
-    ClaimDecision, LEAD_TABLE, LeadClock, LeadState, LeadStep, LeaderSight,
-};
+use crate::gateway::job_lease::{ClaimDecision, LEAD_TABLE, LeadClock, LeadState, LeadStep};
 use crate::gateway::job_records::{
     INPUT_TABLE, JOB_TABLE, JobEntry, JobHead, JobName, PARTIAL_TABLE, RESULT_TABLE, decode,
     encode, job_partitions, join_chunks,
@@ -117,14 +115,14 @@
         let leader = VmId::from(head.lead.as_str());
         let dispatcher = self.dispatcher.borrow();
         let is_published = self.peering.is_member(&leader, head.lead_incarnation);
-        let mut candidates = dispatcher.live_vms();
-        candidates.push(self.settings.vm.clone());
-        let sight = LeaderSight {
-            is_reporting: is_published && dispatcher.is_live(&leader),
-            is_owner: owner_of(job.as_str(), &candidates) == Some(&self.settings.vm),
+        let is_reporting = is_published && dispatcher.is_live(&leader);
+        let is_owner = || {
+            let mut candidates = dispatcher.live_vms();
+            candidates.push(self.settings.vm.clone());
+            owner_of(job.as_str(), &candidates) == Some(&self.settings.vm)
         };
         let clock = LeadClock { store: self.store_time(), monotonic: monotonic() };
-        self.jobs.claims.borrow_mut().step(job, &head, sight, clock)
+        self.jobs.claims.borrow_mut().step(job, &head, is_reporting, is_owner, clock)
     }
 
     /// Returns what this VM knows of a job's recorded leader, for the log of a takeover.
--- a/crates/ebonydock/src/gateway/job_lease.rs
+++ b/crates/ebonydock/src/gateway/job_lease.rs
@@ -186,15 +186,6 @@
     pub(crate) monotonic: Duration,
 }
 
-/// What a VM sees of the leader of a job, apart from its lease.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct LeaderSight {
-    /// Whether the leader is published and its reports arrive.
-    pub(crate) is_reporting: bool,
-    /// Whether this VM is the job's owner among the VMs whose reports arrive.
-    pub(crate) is_owner: bool,
-}
-
 /// What a VM does about a job that it does not run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum LeadStep {
@@ -254,11 +245,15 @@
 
     /// Returns what the VM does about an open job that it does not run. It claims a job that it leads by the
     /// record, and one without a leader if it is the job's owner.
+    ///
+    /// `is_reporting` is whether the leader is published and its reports arrive. `is_owner` returns whether the
+    /// VM is the job's owner among the VMs whose reports arrive, which takes a hash for each of them.
     pub(crate) fn step(
         &mut self,
         job: &JobName,
         head: &JobHead,
-        sight: LeaderSight,
+        is_reporting: bool,
+        is_owner: impl FnOnce() -> bool,
         clock: LeadClock,
     ) -> LeadStep {
         let is_own = head.lead == self.vm.as_str();
@@ -267,7 +262,7 @@
         }
         let is_silent = !is_own && !head.lead.is_empty();
         if is_silent {
-            if sight.is_reporting {
+            if is_reporting {
                 self.silent_leaders.remove(job);
                 return LeadStep::Leave;
             }
@@ -280,7 +275,7 @@
                 return LeadStep::Leave;
             }
         }
-        if !sight.is_owner {
+        if !is_owner() {
             return LeadStep::Leave;
         }
         if !is_silent {
--- a/crates/ebonydock/src/gateway/lease_rows.rs
+++ b/crates/ebonydock/src/gateway/lease_rows.rs
@@ -12,6 +12,8 @@
 
 /// Timeout of a renewal. Shorter than that of other calls, so that a lease outlasts a lost response.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Delay before a failed read of another VM's lease is retried.
+const READ_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Delay before a failed renewal is retried.
 const RENEWAL_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -23,21 +25,21 @@
         }
         let core = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let row = core.read_lease_row(&vm).await;
-            core.jobs.reading_leases.borrow_mut().remove(&vm);
-            match row {
+            match core.read_lease_row(&vm).await {
                 Ok(row) => {
                     let lease = row.and_then(|row| decode_lease(&row));
-                    core.jobs.claims.borrow_mut().leases.record(vm, lease, monotonic());
-                    core.check_leaders();
+                    core.jobs.claims.borrow_mut().leases.record(vm.clone(), lease, monotonic());
                 }
                 Err(error) => {
                     log::info!(
                         vm = vm.as_str(), error = error.to_string();
                         "lease of a silent leader not read; its jobs stay with it"
                     );
+                    tokio::time::sleep(READ_RETRY_DELAY).await;
                 }
             }
+            core.jobs.reading_leases.borrow_mut().remove(&vm);
+            core.check_leaders();
         });
     }
 
--- a/crates/ebonydock/src/gateway/tests/lead_model.rs
+++ b/crates/ebonydock/src/gateway/tests/lead_model.rs
@@ -10,7 +10,7 @@
 
 use crate::gateway::job_lease::{
     ClaimDecision, ClaimPlanner, LEASE_RENEWAL_INTERVAL, LeadClock, LeadRecord, LeadState,
-    LeadStep, LeaderSight, VmLease,
+    LeadStep, VmLease,
 };
 use crate::gateway::job_records::{JobHead, JobName};
 use crate::gateway::member_entry::{EntryAction, MemberGeneration, entry_action};
@@ -417,9 +417,9 @@
             return;
         }
         let head = vm.jobs[job].0.clone();
-        let sight = self.sight(index, &name, &head);
+        let (is_reporting, is_owner) = self.sight(index, &name, &head);
         let clock = LeadClock { store: now, monotonic: now };
-        match self.vms[index].planner.step(&name, &head, sight, clock) {
+        match self.vms[index].planner.step(&name, &head, is_reporting, || is_owner, clock) {
             LeadStep::Leave => {}
             LeadStep::ReadLease(leader) => {
                 if self.is_reachable() {
@@ -433,7 +433,8 @@
         }
     }
 
-    fn sight(&self, index: usize, job: &JobName, head: &JobHead) -> LeaderSight {
+    /// Returns whether a VM hears the leader of a job, and whether it is the owner among those that it hears.
+    fn sight(&self, index: usize, job: &JobName, head: &JobHead) -> (bool, bool) {
         let vm = &self.vms[index];
         let is_heard = |name: usize| {
             self.hears(vm.name, name)
@@ -446,7 +447,7 @@
             let incarnation = vm.entries.get(name).map(|generation| generation.incarnation);
             vm_id(*name).as_str() == head.lead && incarnation == Some(head.lead_incarnation)
         });
-        LeaderSight { is_reporting, is_owner: owner_of(job.as_str(), &candidates) == Some(&vm.id) }
+        (is_reporting, owner_of(job.as_str(), &candidates) == Some(&vm.id))
     }
 
     fn claim(&mut self, index: usize, job: usize, seen: &JobHead) {
