--- a/crates/ebonydock/src/gateway/job_lease.rs
+++ b/crates/ebonydock/src/gateway/job_lease.rs
@@ -85,6 +85,7 @@
 /// Whether a job may be claimed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ClaimDecision {
+    /// Claim the job and write this record with the head.
     Claim(ClaimReason, LeadRecord),
     /// The leader keeps the job at least until this time.
     Wait(Duration),
