Leases: a renewal by a clock that is far ahead holds no job, and withheld calls are asserted

Cause: a lease was held until its end, whatever time it was renewed at. After a renewal by a clock far ahead, the jobs of a VM that is gone would have waited for that clock; the check in the claim was never reached. Found by reading the change again; the platform promises a steady clock, so no caller has seen it.

Change: a renewal later than now and the length of a lease counts as none. Three tests of late calls could have passed with no call withheld; the stand-in store now asserts that there was one.

--- a/crates/ebonydock/src/gateway/job_lease.rs
+++ b/crates/ebonydock/src/gateway/job_lease.rs
@@ -91,10 +91,11 @@
     Wait(Duration),
 }
 
-/// Returns the end of a VM's lease, `None` if it is not held by this incarnation.
-fn lease_end(lease: Option<VmLease>, incarnation: u64) -> Option<Duration> {
+/// Returns the end of a VM's lease, `None` if it is not held by this incarnation. A renewal far in the future was
+/// written by a clock that cannot be trusted, and would otherwise hold the jobs for ever.
+fn lease_end(lease: Option<VmLease>, incarnation: u64, now: Duration) -> Option<Duration> {
     let lease = lease.filter(|lease| lease.incarnation == incarnation)?;
-    Some(lease.renewed_at + LEASE_DURATION)
+    (lease.renewed_at <= now + LEASE_DURATION).then_some(lease.renewed_at + LEASE_DURATION)
 }
 
 impl LeadState<'_> {
@@ -114,14 +115,14 @@
         let claimed_at = self.record.map_or(self.head.accepted_at, |record| record.claimed_at);
         let backoff_end = claimed_at + takeover_backoff(takeovers);
         // A claim counts as a renewal, because the claimant may have had no lease before.
-        let lease_end = lease_end(self.lease, self.head.lead_incarnation);
+        let lease_end = lease_end(self.lease, self.head.lead_incarnation, now);
         let lease_end = (claimed_at + LEASE_DURATION).max(lease_end.unwrap_or_default());
         let claimable_at = match reason {
             ClaimReason::HandedOver | ClaimReason::Resumed => Duration::ZERO,
             ClaimReason::Restarted => backoff_end,
             ClaimReason::LeaseEnded => backoff_end.max(lease_end),
         };
-        // No lease ends later than this. One that does was written by a clock that cannot be trusted.
+        // No claim is protected for longer. One that is was recorded by a clock that cannot be trusted.
         let latest = now + LEASE_DURATION.max(TAKEOVER_BACKOFF.1);
         if now < claimable_at && claimable_at <= latest {
             return ClaimDecision::Wait(claimable_at);
@@ -170,7 +171,7 @@
 
     fn status(&self, vm: &VmId, incarnation: u64, clock: LeadClock) -> LeaseStatus {
         let Some((lease, read_at)) = self.read.get(vm) else { return LeaseStatus::Unknown };
-        if lease_end(*lease, incarnation).is_some_and(|end| clock.store < end) {
+        if lease_end(*lease, incarnation, clock.store).is_some_and(|end| clock.store < end) {
             LeaseStatus::Held
         } else if clock.monotonic < *read_at + MAX_LEASE_AGE {
             LeaseStatus::Ended
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -111,6 +111,7 @@
     /// Applies the transactions that were withheld and whose conditions still hold. Returns how many did.
     pub(super) fn apply_withheld(&self) -> usize {
         let withheld = self.withheld.take();
+        assert!(!withheld.is_empty(), "no transaction was withheld");
         withheld.iter().filter(|transaction| self.apply(transaction).is_ok()).count()
     }
 
--- a/crates/ebonydock/src/gateway/tests/leads.rs
+++ b/crates/ebonydock/src/gateway/tests/leads.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
-use crate::gateway::job_lease::{LEAD_TABLE, LEASE_TABLE};
-use crate::gateway::job_records::{INPUT_TABLE, PARTIAL_TABLE};
+use crate::gateway::job_lease::{
+    ClaimPlanner, LEAD_TABLE, LEASE_TABLE, LeadClock, LeadStep, VmLease,
+};
+use crate::gateway::job_records::{INPUT_TABLE, JobHead, JobName, PARTIAL_TABLE};
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, SLOW_READ_TIME, TargetBehavior, run};
 use crate::gateway::tests::jobs::{ITEMS, all_results, full_output, key, submission};
+use crate::ids::VmId;
 
 /// Events of an item that runs for eight seconds.
 const LONG_ITEM: u64 = 800;
@@ -71,6 +74,39 @@
     });
 }
 
+/// A lease that was renewed by a clock far ahead held the jobs of a VM that is gone for ever.
+#[test]
+fn lease_renewed_in_the_future_counts_as_ended() {
+    let (job, clock) = (JobName::of(None, "j1"), Duration::from_secs(100));
+    let head = JobHead {
+        workspace: None,
+        route: "night".to_owned(),
+        host: "shop.example".to_owned(),
+        accepted_at: Duration::ZERO,
+        due_at: clock,
+        keep_until: clock,
+        items: ITEMS,
+        tokens: 0,
+        lead: "gone".to_owned(),
+        lead_incarnation: 7,
+        ended: false,
+    };
+    let step_with_lease = |renewed_at| {
+        let mut planner = ClaimPlanner::open(&VmId::from("vm1"), 1);
+        let step = |planner: &mut ClaimPlanner, at| {
+            let now = LeadClock { store: clock, monotonic: at };
+            planner.step(&job, &head, false, || true, now)
+        };
+        step(&mut planner, Duration::ZERO);
+        let later = Duration::from_secs(2);
+        let lease = VmLease { incarnation: 7, renewed_at };
+        planner.leases.record(VmId::from("gone"), Some(lease), later);
+        step(&mut planner, later)
+    };
+    assert_eq!(step_with_lease(clock), LeadStep::Leave);
+    assert_eq!(step_with_lease(clock + Duration::from_hours(1)), LeadStep::Claim);
+}
+
 /// A deletion of an expired job that takes effect late removed the inputs of a new job of the same name.
 #[test]
 fn late_deletion_of_expired_job_leaves_its_successor() {
