Jobs: a restarted VM takes its own jobs back at once, whoever owns them

Cause: since leads are leases, only the job's owner among the VMs that are heard claimed a job, also one of an earlier incarnation of the claimant. A VM that restarted and heard others before it had read its jobs left them to their owners, who wait until the old lease has ended: up to 3.8 s in which items stand still. Before leases the owner saw the new incarnation in the member table and claimed at once. Found by reading.

Change: a VM claims what the head gives to it or to an earlier incarnation of it; the backoff still holds.

Measured: restarted_vm_claims_its_jobs_whoever_owns_them fails with the owner asked (left: Leave, right: Claim); 46 of 46 tests of jobs, leads, the model and members pass. What callers gain was not measured.

--- a/crates/ebonydock/src/gateway/job_lease.rs
+++ b/crates/ebonydock/src/gateway/job_lease.rs
@@ -203,7 +203,6 @@
 #[derive(Debug)]
 pub(crate) struct ClaimPlanner {
     vm: VmId,
-    incarnation: u64,
     pub(crate) leases: LeaseCache,
     /// Incarnations of silent leaders, and when they were first seen silent, by the monotonic clock.
     silent_leaders: HashMap<JobName, (u64, Duration)>,
@@ -212,11 +211,10 @@
 }
 
 impl ClaimPlanner {
-    /// Opens the planner of a VM's incarnation.
-    pub(crate) fn open(vm: &VmId, incarnation: u64) -> Self {
+    /// Opens the planner of a VM.
+    pub(crate) fn open(vm: &VmId) -> Self {
         Self {
             vm: vm.clone(),
-            incarnation,
             leases: LeaseCache::default(),
             silent_leaders: HashMap::default(),
             claim_after: HashMap::default(),
@@ -246,8 +244,8 @@
         deferral.is_some_and(|(leader, at)| *leader == head.lead_incarnation && now < *at)
     }
 
-    /// Returns what the VM does about an open job that it does not run. It claims a job that it leads by the
-    /// record, and one without a leader if it is the job's owner.
+    /// Returns what the VM does about an open job that it does not run. It claims a job that the head gives to it or
+    /// to an earlier incarnation of it, and one without a leader if it is the job's owner.
     ///
     /// `is_reporting` is whether the leader is published and its reports arrive. `is_owner` returns whether the
     /// VM is the job's owner among the VMs whose reports arrive, which takes a hash for each of them.
@@ -262,11 +260,11 @@
         if self.is_deferred(job, head, clock.monotonic) {
             return LeadStep::Leave;
         }
-        let is_own = head.lead == self.vm.as_str();
-        if is_own && head.lead_incarnation == self.incarnation {
+        // Its own jobs, also those of an earlier incarnation, which has ended.
+        if head.lead == self.vm.as_str() {
             return LeadStep::Claim;
         }
-        let is_silent = !is_own && !head.lead.is_empty();
+        let is_silent = !head.lead.is_empty();
         if is_silent {
             if is_reporting {
                 self.silent_leaders.remove(job);
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -77,13 +77,13 @@
 const MIN_REMAINING_FRACTION: f64 = 0.15;
 
 impl JobService {
-    /// Opens the state of a VM's incarnation, which knows no jobs yet.
-    pub(crate) fn open(vm: &VmId, incarnation: u64) -> Self {
+    /// Opens the state of a VM that knows no jobs yet.
+    pub(crate) fn open(vm: &VmId) -> Self {
         Self {
             index: RefCell::default(),
             leaders: RefCell::default(),
             starting: RefCell::default(),
-            claims: RefCell::new(ClaimPlanner::open(vm, incarnation)),
+            claims: RefCell::new(ClaimPlanner::open(vm)),
             reading_leases: RefCell::default(),
             cache: RefCell::default(),
             inputs: RefCell::default(),
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -86,7 +86,7 @@
                 &settings.data_centre,
                 Rc::new(connections.clone()),
             )),
-            jobs: JobService::open(&settings.vm, incarnation),
+            jobs: JobService::open(&settings.vm),
             settings,
             incarnation,
             transport,
--- a/crates/ebonydock/src/gateway/tests/lead_model.rs
+++ b/crates/ebonydock/src/gateway/tests/lead_model.rs
@@ -207,7 +207,7 @@
         self.next_incarnation += 1;
         self.vms.push(ModelVm {
             name,
-            planner: ClaimPlanner::open(&id, incarnation),
+            planner: ClaimPlanner::open(&id),
             id,
             generation: None,
             incarnation,
--- a/crates/ebonydock/src/gateway/tests/leads.rs
+++ b/crates/ebonydock/src/gateway/tests/leads.rs
@@ -96,7 +96,7 @@
 #[test]
 fn deferred_job_is_claimed_once_it_is_handed_on() {
     let job = JobName::of(None, "j1");
-    let mut planner = ClaimPlanner::open(&VmId::from("vm1"), 1);
+    let mut planner = ClaimPlanner::open(&VmId::from("vm1"));
     let now = LeadClock { store: CLOCK, monotonic: Duration::ZERO };
     planner.defer(&job, &head_of("vm2", 7), Duration::from_secs(16));
     let handed_on = planner.step(&job, &head_of("", 0), false, || true, now);
@@ -106,12 +106,21 @@
     assert_eq!(deferred, LeadStep::Leave);
 }
 
+/// A restarted VM that heard others left its jobs to their owners, who waited until its old lease had ended.
+#[test]
+fn restarted_vm_claims_its_jobs_whoever_owns_them() {
+    let mut planner = ClaimPlanner::open(&VmId::from("vm1"));
+    let now = LeadClock { store: CLOCK, monotonic: Duration::ZERO };
+    let step = planner.step(&JobName::of(None, "j1"), &head_of("vm1", 7), false, || false, now);
+    assert_eq!(step, LeadStep::Claim);
+}
+
 /// A lease that was renewed by a clock far ahead held the jobs of a VM that is gone for ever.
 #[test]
 fn lease_renewed_in_the_future_counts_as_ended() {
     let (job, head) = (JobName::of(None, "j1"), head_of("gone", 7));
     let step_with_lease = |renewed_at| {
-        let mut planner = ClaimPlanner::open(&VmId::from("vm1"), 1);
+        let mut planner = ClaimPlanner::open(&VmId::from("vm1"));
         let step = |planner: &mut ClaimPlanner, at| {
             let now = LeadClock { store: CLOCK, monotonic: at };
             planner.step(&job, &head, false, || true, now)
