Gateway: publication and claim planning in files of their own, after a read-through

Cause: a newcomer found connections to other VMs and the upkeep of the member entry in one file, rules of leases and the choice of jobs in another, and lease_rows beside leases, which are of slots. Two tests of member entries would also have passed had nothing ever been published.

Change: member_publication out of peering, claim_planner out of job_lease, lease_rows is job_lease_rows; comments on regression tests have one line; the two tests assert that there was an entry. No decision changes.

--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -24,7 +24,6 @@
 /// A stopping VM keeps serving until nothing has run for this long, so that the last bytes of responses
 /// are sent.
 const MIN_IDLE_BEFORE_STOP: Duration = Duration::from_millis(300);
-
 /// Limit for the time in which calls that a planned stop has ended are answered.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(600);
 
--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use crate::clock::monotonic;
+use crate::gateway::claim_planner::{LeadClock, LeadStep};
 use crate::gateway::followers::{FeedPacing, TableUpdate};
 use crate::gateway::job_leader::{JobLeader, LeaderState, handover_transaction, read_partials};
-use crate::gateway::job_lease::{ClaimDecision, LEAD_TABLE, LeadClock, LeadState, LeadStep};
+use crate::gateway::job_lease::{ClaimDecision, LEAD_TABLE, LeadState};
+use crate::gateway::job_lease_rows::keep_lease;
 use crate::gateway::job_records::{
     INPUT_TABLE, JOB_TABLE, JobEntry, JobHead, JobName, PARTIAL_TABLE, RESULT_TABLE, decode,
     encode, job_partitions, join_chunks,
 };
 use crate::gateway::job_service::{RunningLeader, StartingGuard};
-use crate::gateway::lease_rows::keep_lease;
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::VmId;
 use crate::ownership::owner_of;
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -8,9 +8,9 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use crate::gateway::claim_planner::ClaimPlanner;
 use crate::gateway::job_cache::ResultCache;
 use crate::gateway::job_leader::SharedPartials;
-use crate::gateway::job_lease::ClaimPlanner;
 use crate::gateway::job_records::{
     INPUT_TABLE, JOB_TABLE, JobEntry, JobIndex, JobItem, JobItemResult, JobName, JobProgress,
     RESULT_TABLE, decode, join_chunks,
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 mod batch_balance;
 mod catalog;
+mod claim_planner;
 mod cold_start;
 mod connections;
 mod dispatcher;
@@ -23,13 +24,14 @@
 mod job_leader;
 mod job_leadership;
 mod job_lease;
+mod job_lease_rows;
 mod job_records;
 mod job_service;
-mod lease_rows;
 mod leases;
 mod load;
 mod logs;
 mod member_entry;
+mod member_publication;
 mod metrics;
 mod peering;
 mod prompt_failures;
--- a/crates/ebonydock/src/gateway/peering.rs
+++ b/crates/ebonydock/src/gateway/peering.rs
@@ -15,27 +15,20 @@
 use crate::gateway::followers::{FeedPacing, TableUpdate};
 use crate::gateway::handle::GatewaySettings;
 use crate::gateway::load::LoadUpdate;
-use crate::gateway::member_entry::{EntryAction, GatewayMember, MemberGeneration, entry_action};
+use crate::gateway::member_entry::{GatewayMember, MemberGeneration};
+use crate::gateway::member_publication::{PublicationState, keep_published};
 use crate::gateway::report_exchange::{forward_reports, report_load};
 use crate::gateway::report_routes::{ReportMember, ReportRoutes};
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::VmId;
 use crate::peers::messages::{PeerDatagram, PeerReply, PeerRequest};
 use crate::peers::{PeerEndpoint, PeerEvents, TlsIdentity};
-use crate::platform::rows::{RowError, RowResult, RowTransaction, StoredRow};
+use crate::platform::rows::StoredRow;
 
 /// The table in which VMs publish themselves.
 pub(crate) const MEMBER_TABLE: &str = "gateway_members";
 /// Minimum interval between connection attempts to one VM.
 const RECONNECT_INTERVAL: Duration = Duration::from_secs(1);
-/// Initial and maximum delay before a failed publication is retried; the delay doubles after each failure.
-const PUBLISH_RETRY_DELAYS: (Duration, Duration) =
-    (Duration::from_millis(300), Duration::from_millis(1200));
-/// Interval at which a VM compares its entry in the followed table with itself.
-const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Limit for the time in which a stopping VM removes its entry.
-const UNPUBLISH_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// The connections to other gateways.
 pub(crate) struct GatewayPeering {
     endpoint: PeerEndpoint,
@@ -43,11 +36,7 @@
     private_key: String,
     members: RefCell<HashMap<String, GatewayMember>>,
     has_member_list: Cell<bool>,
-    /// Generation of this VM, from its first read of the store on.
-    generation: Cell<Option<MemberGeneration>>,
-    /// Version of this VM's row when it last held the entry of this incarnation.
-    own_version: Cell<Option<u64>>,
-    is_superseded: Cell<bool>,
+    pub(crate) publication: PublicationState,
     last_connect_attempt: RefCell<HashMap<VmId, Duration>>,
     pub(crate) routes: RefCell<ReportRoutes>,
 }
@@ -89,9 +78,7 @@
             private_key,
             members: RefCell::default(),
             has_member_list: Cell::new(false),
-            generation: Cell::new(None),
-            own_version: Cell::new(None),
-            is_superseded: Cell::new(false),
+            publication: PublicationState::default(),
             last_connect_attempt: RefCell::default(),
             routes,
         })
@@ -121,24 +108,14 @@
         members.get(vm.as_str()).is_some_and(|member| member.incarnation == incarnation)
     }
 
-    /// Returns whether a later incarnation of this VM has published itself.
-    pub(crate) fn is_superseded(&self) -> bool {
-        self.is_superseded.get()
-    }
-
-    /// Returns whether the followed table shows the entry of this incarnation.
-    fn is_own_entry_listed(&self) -> bool {
-        self.is_member(&self.own.vm, self.own.incarnation)
+    /// Returns the entry of this VM.
+    pub(crate) fn own_entry(&self) -> &GatewayMember {
+        &self.own
     }
 
-    /// Returns the generation of this VM. `store_version` is the version of the read that led here; the first
-    /// one sets the generation.
-    fn own_generation(&self, store_version: u64) -> MemberGeneration {
-        let first_read =
-            MemberGeneration { first_version: store_version, incarnation: self.own.incarnation };
-        let generation = self.generation.get().unwrap_or(first_read);
-        self.generation.set(Some(generation));
-        generation
+    /// Returns whether a later incarnation of this VM has published itself.
+    pub(crate) fn is_superseded(&self) -> bool {
+        self.publication.is_superseded()
     }
 
     fn apply_update(&self, update: TableUpdate) {
@@ -260,119 +237,10 @@
         tokio::task::spawn_local(report_load(Rc::clone(self)));
         tokio::task::spawn_local(forward_reports(Rc::clone(self)));
     }
-
-    /// Removes the entry of this incarnation on a planned stop.
-    pub(crate) async fn unpublish(&self) {
-        let own = &self.peering.own;
-        let outcome = tokio::time::timeout(UNPUBLISH_TIMEOUT, self.delete_own_entry()).await;
-        let outcome = outcome.unwrap_or_else(|_| {
-            Err(RowError::Unknown(format!("no response within {UNPUBLISH_TIMEOUT:?}")))
-        });
-        match outcome {
-            Ok(()) => {}
-            Err(RowError::Conflict) => {
-                log::info!(vm = own.vm.as_str(); "member entry not removed: it is no longer this VM's");
-            }
-            Err(error) => {
-                log::warn!(
-                    vm = own.vm.as_str(), error = error.to_string();
-                    "member entry not removed; it stays until the VM starts again"
-                );
-            }
-        }
-    }
-
-    async fn delete_own_entry(&self) -> RowResult<()> {
-        let own = &self.peering.own;
-        let version = if let Some(version) = self.peering.own_version.get() {
-            version
-        } else {
-            // A publication whose response was lost may have been applied.
-            let (stored, _) = self.read_own_entry().await?;
-            match stored {
-                Some((generation, version)) if generation.incarnation == own.incarnation => version,
-                _ => return Ok(()),
-            }
-        };
-        let transaction = RowTransaction::in_partition("")
-            .expect(MEMBER_TABLE, own.vm.as_str(), version)
-            .delete(MEMBER_TABLE, own.vm.as_str());
-        self.rows.transact(&transaction).await.map(|_| ())
-    }
-
-    /// Reads the row of this VM. Returns its generation and version, and the version of the store.
-    async fn read_own_entry(&self) -> RowResult<(Option<(MemberGeneration, u64)>, u64)> {
-        let vm = self.peering.own.vm.as_str();
-        // The smallest possible next key: keys contain no character that sorts before the space.
-        let page = self.rows.range(MEMBER_TABLE, "", vm, &format!("{vm} ")).await?;
-        let row = page.rows.iter().find(|row| row.key == vm);
-        // An unreadable row is replaced like that of an earlier incarnation.
-        let stored = row.map(|row| {
-            let generation = decode_member(row).map(|(_, generation)| generation);
-            (generation.unwrap_or_default(), row.version)
-        });
-        Ok((stored, page.version))
-    }
-
-    /// Makes sure that the store holds the entry of this incarnation, unless a later one has published
-    /// itself.
-    async fn publish_entry(&self) -> RowResult<()> {
-        let peering = &self.peering;
-        let vm = peering.own.vm.as_str();
-        let (stored, store_version) = self.read_own_entry().await?;
-        let generation = peering.own_generation(store_version);
-        let action = entry_action(generation, stored);
-        let was_superseded = peering.is_superseded.replace(action == EntryAction::Yield);
-        match action {
-            EntryAction::Keep => peering.own_version.set(stored.map(|(_, version)| version)),
-            EntryAction::Yield if was_superseded => {}
-            EntryAction::Yield => {
-                log::warn!(
-                    vm = vm, first_version = generation.first_version;
-                    "a later incarnation of this VM is published; this one leads no jobs any more"
-                );
-            }
-            EntryAction::Publish { expected } => {
-                // Until the outcome is known, a deletion has to read the version first.
-                peering.own_version.set(None);
-                let transaction = RowTransaction::in_partition("")
-                    .expect(MEMBER_TABLE, vm, expected)
-                    .write(MEMBER_TABLE, vm, peering.own.encode(generation.first_version));
-                let version = self.rows.transact(&transaction).await?;
-                peering.own_version.set(Some(version));
-                log::info!(vm = vm, version = version, replaced_version = expected; "member entry published");
-            }
-        }
-        Ok(())
-    }
-}
-
-/// Publishes this VM, and again whenever the followed table no longer shows its entry.
-async fn keep_published(core: Rc<GatewayCore>) {
-    let mut retry_delay = PUBLISH_RETRY_DELAYS.0;
-    while !core.is_stopping() {
-        match core.publish_entry().await {
-            Ok(()) => {
-                retry_delay = PUBLISH_RETRY_DELAYS.0;
-                tokio::time::sleep(ENTRY_CHECK_INTERVAL).await;
-                while core.peering.is_own_entry_listed() {
-                    tokio::time::sleep(ENTRY_CHECK_INTERVAL).await;
-                }
-            }
-            Err(error) => {
-                log::warn!(
-                    error = error.to_string(), retry_ms = retry_delay.as_millis() as u64;
-                    "member entry could not be published; retrying"
-                );
-                tokio::time::sleep(retry_delay).await;
-                retry_delay = (retry_delay * 2).min(PUBLISH_RETRY_DELAYS.1);
-            }
-        }
-    }
 }
 
 /// Decodes a row of the member table; `None` if it was deleted or names no VM.
-fn decode_member(row: &StoredRow) -> Option<(GatewayMember, MemberGeneration)> {
+pub(crate) fn decode_member(row: &StoredRow) -> Option<(GatewayMember, MemberGeneration)> {
     if row.deleted {
         return None;
     }
--- a/crates/ebonydock/src/gateway/tests/lead_model.rs
+++ b/crates/ebonydock/src/gateway/tests/lead_model.rs
@@ -8,9 +8,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::gateway::claim_planner::{ClaimPlanner, LeadClock, LeadStep};
 use crate::gateway::job_lease::{
-    ClaimDecision, ClaimPlanner, LEASE_RENEWAL_INTERVAL, LeadClock, LeadRecord, LeadState,
-    LeadStep, VmLease,
+    ClaimDecision, LEASE_RENEWAL_INTERVAL, LeadRecord, LeadState, VmLease,
 };
 use crate::gateway::job_records::{JobHead, JobName};
 use crate::gateway::member_entry::{EntryAction, MemberGeneration, entry_action};
--- a/crates/ebonydock/src/gateway/tests/leads.rs
+++ b/crates/ebonydock/src/gateway/tests/leads.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use crate::gateway::job_lease::{
-    ClaimPlanner, LEAD_TABLE, LEASE_TABLE, LeadClock, LeadStep, VmLease,
-};
+use crate::gateway::claim_planner::{ClaimPlanner, LeadClock, LeadStep};
+use crate::gateway::job_lease::{LEAD_TABLE, LEASE_TABLE, VmLease};
 use crate::gateway::job_records::{INPUT_TABLE, JOB_TABLE, JobHead, JobName, PARTIAL_TABLE};
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, SLOW_READ_TIME, TargetBehavior, run};
 use crate::gateway::tests::jobs::{ITEMS, all_results, full_output, key, submission};
@@ -53,8 +52,7 @@
     });
 }
 
-/// Items reached targets after the end of their job, because a VM that took it over had not looked at what
-/// arrived meanwhile (`gateway item after end`).
+/// Items reached targets after the end of their job, which had come during a takeover.
 #[test]
 fn job_that_ends_during_takeover_is_not_started() {
     run(async {
--- a/crates/ebonydock/src/gateway/tests/membership.rs
+++ b/crates/ebonydock/src/gateway/tests/membership.rs
@@ -75,6 +75,7 @@
     run(async {
         let site = idle_site();
         let gateway = site.gateway("vm1").await;
+        assert!(published_incarnation(&site, "vm1").is_some());
         gateway.stop().await;
         tokio::time::sleep(Duration::from_secs(5)).await;
         assert_eq!(published_incarnation(&site, "vm1"), None);
@@ -104,6 +105,7 @@
         let later = published_incarnation(&site, "vm1");
         tokio::time::sleep(Duration::from_secs(2)).await;
         let settled = site.store.row(MEMBERS, "vm1");
+        assert!(later.is_some());
         tokio::time::sleep(Duration::from_secs(10)).await;
         assert_eq!(published_incarnation(&site, "vm1"), later);
         assert_eq!(site.store.row(MEMBERS, "vm1"), settled);
@@ -127,8 +129,7 @@
     assert_eq!(entry_action(generation(10, 7), stored), action);
 }
 
-/// Both incarnations of a VM read the same version of the store, and the entry of the first, which has ended, was
-/// published late: the second gave way to it if its random number was lower.
+/// A VM gave way to its predecessor if both had read the same version and its random number was lower.
 #[test]
 fn later_incarnation_wins_if_nothing_was_written_in_between() {
     let next = |_| {
--- a/crates/ebonydock/src/gateway/tests/stop.rs
+++ b/crates/ebonydock/src/gateway/tests/stop.rs
@@ -9,11 +9,9 @@
 
 /// Longer than the planned stop.
 const LONG_TIMEOUT: Duration = Duration::from_secs(30);
-
 const REQUESTS: usize = 40;
 
-/// Requests that ran or waited at the end of a planned stop were cut without an answer. Only those that no
-/// target may have run are told so.
+/// Requests that ran or waited at the end of a planned stop were cut without an answer.
 #[test]
 fn requests_at_the_end_of_a_planned_stop_are_refused_truthfully() {
     run(async {
