Placement: its decisions move out of the gateway into a folder of their own

The gateway's folder has 41 files, 19 of them in one circle, so a part that decides where a request goes could not be changed or tested apart from it. The dispatcher, wait queues, slots, cold starts, batch balance and the load that they live on now form the module `placement`, with their tests and the emulated fleet. It has no I/O, takes the time as an argument and knows the gateway's load reports only as the trait `VmReport`; leases reach it through the trait `SlotPlacement`.

Moves only: no decision and no message changes.

--- a/crates/ebonydock/src/gateway/connections.rs
+++ b/crates/ebonydock/src/gateway/connections.rs
@@ -21,6 +21,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::placement::IdleConnections;
+
 /// Opening a connection within a data centre takes milliseconds; a slower target is
 /// unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -142,12 +144,6 @@
     }
 }
 
-/// Knows to which addresses connections are open.
-pub trait IdleConnections {
-    /// Returns whether a request to the address would use an open connection.
-    fn has_idle(&self, address: SocketAddr) -> bool;
-}
-
 /// A pool of connections by address. Clones share the connections.
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -8,8 +8,8 @@
 use crate::clock::monotonic;
 use crate::gateway::catalog::GatewayConfig;
 use crate::gateway::runtime::GatewayCore;
-use crate::gateway::slots::ServingTarget;
 use crate::ids::DataCentreId;
+use crate::placement::slots::ServingTarget;
 use crate::platform::rows::{RowError, RowResult, StoredRow, read_all};
 
 /// Time after which the store responds to a feed request even without a change. Connections may stall
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -16,11 +16,11 @@
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::response_body::{BodyReceiver, QueueError, open_body};
 use crate::gateway::runtime::GatewayCore;
-use crate::gateway::slots::SlotOutcome;
 use crate::gateway::traces::log_over_quota;
 use crate::gateway::transport::{ResponseMeaning, TargetAttempt, TargetResponse};
-use crate::gateway::wait_queue::{SlotNeed, SlotRefusal};
 use crate::ids::{ServiceName, TargetId, WorkspaceId};
+use crate::placement::slots::SlotOutcome;
+use crate::placement::wait_queue::{SlotNeed, SlotRefusal};
 use crate::scheduling::RequestClass;
 
 /// Responses without events are buffered up to this size before the caller gets any of them, so that the
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -20,7 +20,7 @@
 };
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
-use crate::gateway::slots::SlotOutcome;
+use crate::placement::slots::SlotOutcome;
 use crate::platform::rows::{RowError, RowTransaction};
 use crate::scheduling::RequestClass;
 
--- a/crates/ebonydock/src/gateway/leases.rs
+++ b/crates/ebonydock/src/gateway/leases.rs
@@ -9,12 +9,12 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::clock::monotonic;
-use crate::gateway::batch_balance::BATCH_BALANCE_INTERVAL;
-use crate::gateway::dispatcher::PlacementOutcome;
 use crate::gateway::runtime::GatewayCore;
-use crate::gateway::slots::SlotOutcome;
-use crate::gateway::wait_queue::{SlotNeed, SlotRefusal, SlotWaiter};
 use crate::ids::{ServiceName, TargetId};
+use crate::placement::batch_balance::BATCH_BALANCE_INTERVAL;
+use crate::placement::dispatcher::PlacementOutcome;
+use crate::placement::slots::SlotOutcome;
+use crate::placement::wait_queue::{SlotNeed, SlotRefusal, SlotWaiter};
 use crate::scheduling::RequestClass;
 
 /// Interval at which the wait queues are checked without another trigger, because deadlines, cold starts
@@ -96,7 +96,7 @@
             self.core.leases.preemptible.borrow_mut().remove(&number);
         }
         let now = monotonic();
-        let mut dispatcher = self.core.dispatcher.borrow_mut();
+        let mut dispatcher = self.core.placement();
         dispatcher.release(now, &self.target, self.class, self.outcome);
         if self.outcome == SlotOutcome::Responded && self.class == RequestClass::Online {
             dispatcher.record_service_time(&self.target, now.saturating_sub(self.placed_at));
@@ -116,7 +116,7 @@
     fn drop(&mut self) {
         let waiting = self.core.leases.waiters.borrow_mut().remove(&self.waiter).is_some();
         if waiting {
-            self.core.dispatcher.borrow_mut().cancel(self.waiter);
+            self.core.placement().cancel(self.waiter);
         }
     }
 }
@@ -125,7 +125,7 @@
     /// Acquires a slot, waiting until one is free.
     pub(crate) async fn acquire(self: &Rc<Self>, need: SlotNeed) -> Result<SlotLease, SlotRefusal> {
         let class = need.class;
-        let outcome = self.dispatcher.borrow_mut().request(monotonic(), need.clone());
+        let outcome = self.placement().request(monotonic(), need.clone());
         let waiter = match outcome {
             PlacementOutcome::Placed(target) => {
                 return Ok(self.lease(target, class).register_preemptible(&need));
@@ -159,7 +159,7 @@
         if self.leases.waiters.borrow().is_empty() {
             return;
         }
-        let decided = self.dispatcher.borrow_mut().advance(monotonic());
+        let decided = self.placement().advance(monotonic());
         for (waiter, class, outcome) in decided {
             let outcome = outcome.map(|target| self.lease(target, class));
             let sender = self.leases.waiters.borrow_mut().remove(&waiter);
@@ -173,7 +173,7 @@
     /// Preempts batch items in favour of online requests, the latest deadline first, and lets others start.
     fn balance_batch(self: &Rc<Self>) {
         let now = monotonic();
-        let preemptions = self.dispatcher.borrow_mut().balance_batch(now);
+        let preemptions = self.placement().balance_batch(now);
         for preemption in preemptions {
             let mut slots = self.leases.preemptible.borrow_mut();
             // An item whose response has not begun can be preempted at a later balance.
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -3,31 +3,11 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::quarantine::PartSet;
 use crate::gateway::report_routes::ReportInterest;
-use crate::ids::{ServiceName, TargetId, VmId, WorkspaceId};
-
-/// Running requests of a VM at one target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReportedLoad {
-    /// Hash of the target's id; shorter than the id, so that a report of a large fleet fits in a datagram.
-    pub target: u32,
-    /// Online requests.
-    pub online: u8,
-    /// Batch items.
-    pub batch: u8,
-}
-
-/// Online requests that wait at a VM for a target of one service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ReportedWait {
-    /// Hash of the service's name.
-    pub service: u32,
-    /// Number of requests.
-    pub requests: u16,
-}
+use crate::ids::{VmId, WorkspaceId};
+use crate::placement::load::{ReportedLoad, ReportedWait, VmReport};
 
 /// Quota that a VM has spent for a workspace in its current incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -133,6 +113,24 @@
     pub prompts: Option<Box<PromptReport>>,
 }
 
+impl VmReport for LoadReport {
+    fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    fn targets(&self) -> &[ReportedLoad] {
+        &self.targets
+    }
+
+    fn waiting(&self) -> &[ReportedWait] {
+        &self.waiting
+    }
+}
+
 /// Load report of one VM as sent. Every VM receives each report from two relays, so the content is decoded
 /// only if the header shows that the report is new. Relays forward the content unchanged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -208,13 +206,3 @@
         }
     }
 }
-
-/// Returns the hash that identifies a target in reports.
-pub(crate) fn target_hash(target: &TargetId) -> u32 {
-    xxh3_64(target.as_str().as_bytes()) as u32
-}
-
-/// Returns the hash that identifies a service in reports.
-pub(crate) fn service_hash(service: &ServiceName) -> u32 {
-    xxh3_64(service.as_str().as_bytes()) as u32
-}
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -4,18 +4,14 @@
 //! target by the VM's own view of the fleet, and forwarded unchanged. No VM waits for another one:
 //! VMs report their use of targets and quotas to each other and decide independently.
 //!
-//! [`RequestDispatcher`], [`QuotaLedger`], [`RouteCatalog`] and the job index make decisions without I/O;
+//! `placement`, [`QuotaLedger`], [`RouteCatalog`] and the job index make decisions without I/O;
 //! [`Gateway`] runs them. The HTTP protocols are outside this crate: implementations of
 //! [`TargetTransport`] speak to targets, and users of [`Gateway`] speak to callers.
 
-mod batch_balance;
 mod catalog;
 mod claim_planner;
-mod cold_start;
 mod connections;
-mod dispatcher;
 mod events;
-mod fleet_load;
 mod followers;
 mod forward;
 mod handle;
@@ -43,23 +39,19 @@
 mod request;
 mod response_body;
 mod runtime;
-mod slots;
 mod stream_forwarder;
 #[cfg(test)]
 mod tests;
 mod traces;
 mod transport;
-mod wait_queue;
 
-pub use batch_balance::BatchPreemption;
 pub use catalog::{
     BatchPolicy, CallerLimits, ForwardRoute, GatewayConfig, GatewayWorkspace, RouteBackend,
     RouteCatalog, RouteClass, RouteMiss, ServiceProfile,
 };
 pub use connections::{
-    BodyBudget, BudgetShare, ConnectionPool, IdleConnections, PooledBody, PooledResponse, SendError,
+    BodyBudget, BudgetShare, ConnectionPool, PooledBody, PooledResponse, SendError,
 };
-pub use dispatcher::{PlacementOutcome, RequestDispatcher};
 pub use events::{EventSplitter, OversizedEvent, StreamEvent};
 pub use followers::{OperatorRecord, RowDecoder};
 pub use forward::{ForwardResponse, GatewayRefusal, RefusalReason, ResponseBody};
@@ -68,7 +60,7 @@
 pub use job_records::{JobItem, JobItemResult, JobSubmission};
 pub use load::{
     AnswerCount, LoadReport, LoadUpdate, PartAnswer, PromptFailure, PromptReport, ReportFrame,
-    ReportedLoad, ReportedQuarantine, SpentQuota,
+    ReportedQuarantine, SpentQuota,
 };
 pub use logs::open_decision_log;
 pub use metrics::GatewayMetrics;
@@ -78,8 +70,6 @@
 pub use report_routes::ReportInterest;
 pub use request::{ForwardedRequest, PromptPart, RequestId, TokenDemand};
 pub use response_body::BodyReceiver;
-pub use slots::{ServingTarget, SlotOutcome};
 pub use transport::{
     ResponseMeaning, TargetAttempt, TargetBodyStream, TargetResponse, TargetTransport,
 };
-pub use wait_queue::{SlotNeed, SlotRefusal, SlotWaiter};
--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -12,12 +12,13 @@
 use crate::gateway::followers::{FeedPacing, TableUpdate};
 use crate::gateway::forward::{AdmittedRequest, AttemptHistory, GatewayRefusal, RefusalReason};
 use crate::gateway::job_records::{decode, encode};
-use crate::gateway::load::{PromptFailure, PromptReport, service_hash};
+use crate::gateway::load::{PromptFailure, PromptReport};
 use crate::gateway::prompt_failures::{FailureLedger, SETTLING_TIME};
 use crate::gateway::quarantine::{PartSet, QuarantineList, QuarantineRecord, QuarantineWrite};
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::VmId;
+use crate::placement::load::service_hash;
 use crate::platform::rows::{RowError, RowResult, RowTransaction};
 
 const QUARANTINE_TABLE: &str = "gateway_quarantines";
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -71,7 +71,9 @@
         let is_relay = routes.has_subscribers(now);
         let mut new_reports = Vec::new();
         for frame in &update.reports {
-            let Some(vm) = self.dispatcher.borrow().new_report_vm(frame) else { continue };
+            let dispatcher = self.dispatcher.borrow();
+            let vm = dispatcher.new_report_vm(frame.vm, frame.incarnation, frame.sequence);
+            let Some(vm) = vm else { continue };
             match frame.decode() {
                 Ok(report) => {
                     if is_relay {
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -3,7 +3,7 @@
 //! All state of a gateway belongs to one thread. Cells are borrowed for one decision at a time and never
 //! across an `await`.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +13,6 @@
 use crate::clock::monotonic;
 use crate::gateway::catalog::{GatewayConfig, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
-use crate::gateway::dispatcher::RequestDispatcher;
 use crate::gateway::followers::{
     FeedPacing, OutOfServiceListing, RowDecoder, TableFollower, TargetListing,
 };
@@ -26,9 +25,11 @@
 use crate::gateway::peering::GatewayPeering;
 use crate::gateway::prompt_guard::PromptGuard;
 use crate::gateway::quota::{QuotaLedger, QuotaState};
-use crate::gateway::slots::ServingTarget;
 use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
 use crate::ids::{TargetId, VmId, WorkspaceId};
+use crate::placement::SlotPlacement;
+use crate::placement::dispatcher::RequestDispatcher;
+use crate::placement::slots::ServingTarget;
 use crate::platform::rows::RowStore;
 
 /// How often reports of other VMs and targets that did not register again are checked for expiry.
@@ -117,6 +118,11 @@
         Ok(core)
     }
 
+    /// Returns the placement of requests, borrowed for one decision.
+    pub(crate) fn placement(&self) -> RefMut<'_, dyn SlotPlacement> {
+        self.dispatcher.borrow_mut()
+    }
+
     /// Returns the number of running requests.
     pub(crate) fn running(&self) -> usize {
         self.running.get()
--- a/crates/ebonydock/src/gateway/stream_forwarder.rs
+++ b/crates/ebonydock/src/gateway/stream_forwarder.rs
@@ -15,8 +15,8 @@
 use crate::gateway::leases::SlotLease;
 use crate::gateway::response_body::{BodySender, QueueError, open_body};
 use crate::gateway::runtime::{GatewayCore, RunningCount};
-use crate::gateway::slots::SlotOutcome;
 use crate::gateway::transport::TargetBodyStream;
+use crate::placement::slots::SlotOutcome;
 
 impl GatewayCore {
     /// Waits for the first event before the response starts, so that the request can be retried if the
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -16,10 +16,10 @@
 use crate::gateway::followers::{OperatorRecord, RowDecoder};
 use crate::gateway::handle::{Gateway, GatewaySettings};
 use crate::gateway::request::ForwardedRequest;
-use crate::gateway::slots::ServingTarget;
 use crate::gateway::tests::catalog::{config, route};
 use crate::gateway::transport::{ResponseMeaning, TargetAttempt, TargetResponse, TargetTransport};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::placement::slots::ServingTarget;
 use crate::platform::rows::{
     RowError, RowId, RowPage, RowResult, RowStore, RowTransaction, StoredRow,
 };
--- a/crates/ebonydock/src/gateway/tests/mod.rs
+++ b/crates/ebonydock/src/gateway/tests/mod.rs
@@ -2,13 +2,10 @@
 
 mod catalog;
 mod decisions;
-mod dispatcher;
-mod emulator;
 mod fakes;
 mod jobs;
 mod lead_model;
 mod leads;
-mod load;
 mod membership;
 mod prompt_fleet;
 mod quarantine;
--- a/crates/ebonydock/src/gateway/tests/quota.rs
+++ b/crates/ebonydock/src/gateway/tests/quota.rs
@@ -9,11 +9,11 @@
 use rand::{RngExt, SeedableRng};
 use yare::parameterized;
 
-use crate::gateway::fleet_load::FleetLoad;
 use crate::gateway::load::LoadReport;
 use crate::gateway::quota::QuotaLedger;
 use crate::gateway::report_exchange::has_changes;
 use crate::ids::{VmId, WorkspaceId};
+use crate::placement::fleet_load::FleetLoad;
 
 const TICK_MS: u64 = 5;
 const REPORT_INTERVAL_MS: u64 = 15;
--- a/crates/ebonydock/src/gateway/tests/reports.rs
+++ b/crates/ebonydock/src/gateway/tests/reports.rs
@@ -7,13 +7,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::gateway::fleet_load::{FleetLoad, ReportedUse};
-use crate::gateway::load::{
-    EncodedReport, LoadReport, ReportedLoad, ReportedWait, SpentQuota, service_hash,
-};
+use crate::gateway::load::{EncodedReport, LoadReport, SpentQuota};
 use crate::gateway::report_exchange::{MAX_DATAGRAM_BYTES, report_interval};
 use crate::gateway::report_routes::{ReportInterest, ReportMember, ReportRoutes};
 use crate::ids::{DataCentreId, ServiceName, VmId, WorkspaceId};
+use crate::placement::fleet_load::{FleetLoad, ReportedUse};
+use crate::placement::load::{ReportedLoad, ReportedWait, service_hash};
 
 const TICK: Duration = Duration::from_millis(50);
 /// Long enough for relays to time out, reports to expire and an exchange to complete.
@@ -279,7 +278,10 @@
                         ..LoadReport::default()
                     };
                     let encoded = EncodedReport::encode(&vm, &report);
-                    let is_new = fleet.new_report_vm(&encoded.frame()).is_some();
+                    let is_new = {
+                        let frame = encoded.frame();
+                        fleet.new_report_vm(frame.vm, frame.incarnation, frame.sequence).is_some()
+                    };
                     prop_assert_eq!(encoded.frame().decode().unwrap(), report.clone());
                     prop_assert_eq!(fleet.observe(now, &vm, &report), is_new);
                     if is_new {
--- a/crates/ebonydock/src/gateway/traces.rs
+++ b/crates/ebonydock/src/gateway/traces.rs
@@ -8,9 +8,9 @@
 use crate::gateway::quota::QuotaState;
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::runtime::GatewayCore;
-use crate::gateway::slots::ServingTarget;
 use crate::gateway::transport::TargetResponse;
 use crate::ids::{TargetId, WorkspaceId};
+use crate::placement::slots::ServingTarget;
 
 /// Rounds a value to hundredths, to keep log lines short.
 fn hundredths(value: f64) -> f64 {
--- a/crates/ebonydock/src/gateway/transport.rs
+++ b/crates/ebonydock/src/gateway/transport.rs
@@ -9,8 +9,8 @@
 
 use crate::gateway::connections::SendError;
 use crate::gateway::request::ForwardedRequest;
-use crate::gateway::slots::ServingTarget;
 use crate::ids::WorkspaceId;
+use crate::placement::slots::ServingTarget;
 
 /// One attempt to run a request at one target.
 #[derive(Clone, Copy, Debug)]
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -16,6 +16,7 @@
 mod operators;
 mod ownership;
 mod peers;
+mod placement;
 mod platform;
 mod routing;
 mod scheduling;
@@ -30,18 +31,16 @@
     WorkspaceEntry,
 };
 pub use gateway::{
-    AnswerCount, BatchPolicy, BatchPreemption, BodyBudget, BodyReceiver, BudgetShare, CallerLimits,
-    ConnectionPool, CrashVerdict, EventSplitter, FailureLedger, ForwardResponse, ForwardRoute,
-    ForwardedRequest, Gateway, GatewayConfig, GatewayMetrics, GatewayRefusal, GatewaySettings,
-    GatewayWorkspace, IdleConnections, JobApiResult, JobItem, JobItemResult, JobRefusal,
-    JobResultPage, JobSubmission, LoadReport, LoadUpdate, OperatorRecord, OversizedEvent,
-    PartAnswer, PartSet, PlacementOutcome, PooledBody, PooledResponse, PromptFailure, PromptPart,
-    PromptReport, QuarantineList, QuotaLedger, QuotaState, RefusalReason, ReportFrame,
-    ReportInterest, ReportedLoad, ReportedQuarantine, RequestDispatcher, RequestId, ResponseBody,
+    AnswerCount, BatchPolicy, BodyBudget, BodyReceiver, BudgetShare, CallerLimits, ConnectionPool,
+    CrashVerdict, EventSplitter, FailureLedger, ForwardResponse, ForwardRoute, ForwardedRequest,
+    Gateway, GatewayConfig, GatewayMetrics, GatewayRefusal, GatewaySettings, GatewayWorkspace,
+    JobApiResult, JobItem, JobItemResult, JobRefusal, JobResultPage, JobSubmission, LoadReport,
+    LoadUpdate, OperatorRecord, OversizedEvent, PartAnswer, PartSet, PooledBody, PooledResponse,
+    PromptFailure, PromptPart, PromptReport, QuarantineList, QuotaLedger, QuotaState,
+    RefusalReason, ReportFrame, ReportInterest, ReportedQuarantine, RequestId, ResponseBody,
     ResponseMeaning, RouteBackend, RouteCatalog, RouteClass, RouteMiss, RowDecoder, SendError,
-    ServiceProfile, ServingTarget, SlotNeed, SlotOutcome, SlotRefusal, SlotWaiter, SpentQuota,
-    StreamEvent, TargetAttempt, TargetBodyStream, TargetResponse, TargetTransport, TokenDemand,
-    open_decision_log,
+    ServiceProfile, SpentQuota, StreamEvent, TargetAttempt, TargetBodyStream, TargetResponse,
+    TargetTransport, TokenDemand, open_decision_log,
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
@@ -56,6 +55,10 @@
     ConfigReply, DataCentreReport, EditBody, EditReply, KeyEntry, MemberReport, StatusReply,
 };
 pub use ownership::{owner_of, ranked};
+pub use placement::{
+    BatchPreemption, DecidedWaiter, IdleConnections, PlacementOutcome, ReportedLoad, ReportedWait,
+    RequestDispatcher, ServingTarget, SlotNeed, SlotOutcome, SlotRefusal, SlotWaiter, VmReport,
+};
 pub use platform::http::PlatformClient;
 pub use platform::rows::{
     RowError, RowId, RowPage, RowResult, RowStore, RowTransaction, StoredRow,
--- a/crates/ebonydock/src/gateway/batch_balance.rs
+++ b/crates/ebonydock/src/placement/batch_balance.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::gateway::dispatcher::RequestDispatcher;
-use crate::gateway::wait_queue::{ServiceQueue, SlotNeed};
 use crate::ids::ServiceName;
+use crate::placement::dispatcher::RequestDispatcher;
+use crate::placement::wait_queue::{ServiceQueue, SlotNeed};
 
 /// Fraction of a service's slots that batch items leave free for online requests.
 const ONLINE_RESERVE_FRACTION: f64 = 0.12;
--- a/crates/ebonydock/src/gateway/dispatcher.rs
+++ b/crates/ebonydock/src/placement/dispatcher.rs
@@ -12,13 +12,15 @@
 
 use rand::seq::SliceRandom;
 
-use crate::gateway::cold_start::{ColdStartCapacity, TurnOrder};
-use crate::gateway::connections::IdleConnections;
-use crate::gateway::fleet_load::FleetLoad;
-use crate::gateway::load::{LoadReport, ReportFrame, ReportedLoad, ReportedWait, service_hash};
-use crate::gateway::slots::{ServingTarget, SlotOutcome, TargetSlots};
-use crate::gateway::wait_queue::{DecidedWaiter, ServiceQueue, SlotNeed, SlotRefusal, SlotWaiter};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::placement::cold_start::{ColdStartCapacity, TurnOrder};
+use crate::placement::fleet_load::FleetLoad;
+use crate::placement::idle_connections::IdleConnections;
+use crate::placement::load::{ReportedLoad, ReportedWait, VmReport, service_hash};
+use crate::placement::slots::{ServingTarget, SlotOutcome, TargetSlots};
+use crate::placement::wait_queue::{
+    DecidedWaiter, ServiceQueue, SlotNeed, SlotRefusal, SlotWaiter,
+};
 use crate::scheduling::RequestClass;
 
 /// Added to the utilization of targets in other data centres. Traffic between data centres costs more
@@ -177,16 +179,16 @@
     }
 
     /// Returns the VM of a received report if [`Self::observe`] would apply the report.
-    pub(crate) fn new_report_vm(&self, frame: &ReportFrame<'_>) -> Option<VmId> {
-        self.fleet.new_report_vm(frame)
+    pub(crate) fn new_report_vm(&self, vm: &str, incarnation: u64, sequence: u64) -> Option<VmId> {
+        self.fleet.new_report_vm(vm, incarnation, sequence)
     }
 
     /// Applies load reports of other VMs and returns those that are newer than the known ones.
-    pub fn observe<'a>(
+    pub fn observe<'a, R: VmReport>(
         &mut self,
         now: Duration,
-        reports: &'a [(VmId, LoadReport)],
-    ) -> Vec<&'a (VmId, LoadReport)> {
+        reports: &'a [(VmId, R)],
+    ) -> Vec<&'a (VmId, R)> {
         let new_reports = reports.iter().filter(|(vm, report)| self.fleet.observe(now, vm, report));
         let new_reports: Vec<_> = new_reports.collect();
         if !new_reports.is_empty() {
--- a/crates/ebonydock/src/gateway/fleet_load.rs
+++ b/crates/ebonydock/src/placement/fleet_load.rs
@@ -4,8 +4,8 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::gateway::load::{LoadReport, ReportFrame, ReportedLoad, ReportedWait, service_hash};
 use crate::ids::{ServiceName, VmId};
+use crate::placement::load::{ReportedLoad, ReportedWait, VmReport, service_hash};
 
 /// Time after which a VM's last report expires; several times the report interval.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
@@ -58,24 +58,24 @@
         !is_stale && vm != self.local_vm.as_str()
     }
 
-    /// Returns the VM of a frame whose report would be applied.
-    pub(crate) fn new_report_vm(&self, frame: &ReportFrame<'_>) -> Option<VmId> {
-        let is_new = self.is_new(frame.vm, frame.incarnation, frame.sequence);
-        let known = || self.vms.get_key_value(frame.vm).map(|(vm, _)| vm.clone());
-        is_new.then(|| known().unwrap_or_else(|| VmId::from(frame.vm)))
+    /// Returns the VM of a received report if the report would be applied.
+    pub(crate) fn new_report_vm(&self, vm: &str, incarnation: u64, sequence: u64) -> Option<VmId> {
+        let is_new = self.is_new(vm, incarnation, sequence);
+        let known = || self.vms.get_key_value(vm).map(|(vm, _)| vm.clone());
+        is_new.then(|| known().unwrap_or_else(|| VmId::from(vm)))
     }
 
     /// Applies a report; returns false if it is not new.
-    pub(crate) fn observe(&mut self, now: Duration, vm: &VmId, report: &LoadReport) -> bool {
-        if !self.is_new(vm.as_str(), report.incarnation, report.sequence) {
+    pub(crate) fn observe(&mut self, now: Duration, vm: &VmId, report: &impl VmReport) -> bool {
+        if !self.is_new(vm.as_str(), report.incarnation(), report.sequence()) {
             return false;
         }
         let load = VmLoad {
-            incarnation: report.incarnation,
-            sequence: report.sequence,
+            incarnation: report.incarnation(),
+            sequence: report.sequence(),
             received_at: now,
-            targets: report.targets.clone(),
-            waiting: report.waiting.clone(),
+            targets: report.targets().to_vec(),
+            waiting: report.waiting().to_vec(),
         };
         if let Some(previous) = self.vms.remove(vm) {
             self.subtract(&previous);
--- a/crates/ebonydock/src/gateway/slots.rs
+++ b/crates/ebonydock/src/placement/slots.rs
@@ -6,9 +6,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::gateway::cold_start::{ColdStartCapacity, ColdStartTurns};
-use crate::gateway::load::target_hash;
 use crate::ids::{DataCentreId, ServiceName, TargetId};
+use crate::placement::cold_start::{ColdStartCapacity, ColdStartTurns};
+use crate::placement::load::target_hash;
 use crate::scheduling::RequestClass;
 
 /// Backoff after a target's first failure; doubles with each further one.
--- a/crates/ebonydock/src/gateway/tests/dispatcher.rs
+++ b/crates/ebonydock/src/placement/tests/dispatcher.rs
@@ -9,12 +9,12 @@
 use rand::{RngExt, SeedableRng};
 use yare::parameterized;
 
-use crate::gateway::connections::ConnectionPool;
-use crate::gateway::dispatcher::{PlacementOutcome, RequestDispatcher};
-use crate::gateway::load::{LoadReport, ReportedLoad, target_hash};
-use crate::gateway::slots::{ServingTarget, SlotOutcome};
-use crate::gateway::wait_queue::{SlotNeed, SlotWaiter};
+use crate::gateway::{ConnectionPool, LoadReport};
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::placement::dispatcher::{PlacementOutcome, RequestDispatcher};
+use crate::placement::load::{ReportedLoad, target_hash};
+use crate::placement::slots::{ServingTarget, SlotOutcome};
+use crate::placement::wait_queue::{SlotNeed, SlotWaiter};
 use crate::scheduling::RequestClass;
 
 const SLOTS: u32 = 8;
--- a/crates/ebonydock/src/gateway/tests/emulator.rs
+++ b/crates/ebonydock/src/placement/tests/emulator.rs
@@ -10,12 +10,12 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-use crate::gateway::connections::IdleConnections;
-use crate::gateway::dispatcher::{PlacementOutcome, RequestDispatcher};
-use crate::gateway::load::LoadReport;
-use crate::gateway::slots::{ServingTarget, SlotOutcome};
-use crate::gateway::wait_queue::{SlotNeed, SlotWaiter};
+use crate::gateway::LoadReport;
 use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::placement::dispatcher::{PlacementOutcome, RequestDispatcher};
+use crate::placement::idle_connections::IdleConnections;
+use crate::placement::slots::{ServingTarget, SlotOutcome};
+use crate::placement::wait_queue::{SlotNeed, SlotWaiter};
 use crate::scheduling::RequestClass;
 
 const TICK_MS: u64 = 5;
--- a/crates/ebonydock/src/gateway/tests/load.rs
+++ b/crates/ebonydock/src/placement/tests/load.rs
@@ -1,6 +1,6 @@
 //! Tests of latency at peak load, on emulated fleets.
 
-use crate::gateway::tests::emulator::{EmulatedOutcome, EmulatedSite, SiteEmulator};
+use crate::placement::tests::emulator::{EmulatedOutcome, EmulatedSite, SiteEmulator};
 
 /// 85 VMs and 60 targets: peaks of 460 requests per second beside unlimited batch work.
 fn large_site() -> EmulatedSite {
--- /dev/null
+++ b/crates/ebonydock/src/placement/tests/mod.rs
@@ -0,0 +1,5 @@
+//! Unit tests of placement.
+
+mod dispatcher;
+pub(crate) mod emulator;
+mod load;
