--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -44,6 +44,10 @@
     pub stop_timeout: Duration,
     /// How long the balancer still sends new connections after a VM becomes not ready.
     pub deregistration_delay: Duration,
+    /// Whether placement learns how fast each target is. Otherwise targets are compared by the use of their slots.
+    pub learns_target_speeds: bool,
+    /// Whether scarce capacity is divided among workspaces, and refusals name a time at which there is room.
+    pub divides_fairly: bool,
 }
 
 /// A running gateway. Clones refer to the same gateway.
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -522,6 +522,8 @@
             results_retention: Duration::from_mins(2),
             stop_timeout: Duration::from_secs(7),
             deregistration_delay: Duration::from_millis(100),
+            learns_target_speeds: false,
+            divides_fairly: false,
         };
         let gateway = Gateway::open(
             settings,
