Targets: a 421 for a required version no longer takes the target out of service

A target that lacked the weights that one request required was excluded for all requests of the VM for good, like an address at which another target responds. The request has not run and goes elsewhere; the target stays in service.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -347,6 +347,8 @@
         let usage = match response.meaning {
             ResponseMeaning::NotRun => SlotOutcome::Full,
             ResponseMeaning::Misdirected => SlotOutcome::Misdirected,
+            // Says nothing about the health of the target.
+            ResponseMeaning::OtherVersion => SlotOutcome::Cancelled,
             ResponseMeaning::Ran | ResponseMeaning::Foreign => SlotOutcome::Failed,
         };
         if response.meaning != ResponseMeaning::Foreign {
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -311,6 +311,8 @@
     Leaving(u16),
     /// Reports that the request did not run.
     NotRun,
+    /// Reports that the request requires other weights than the target has.
+    OtherVersion,
     /// Fails without a response.
     Fails(SendError),
     /// Never responds.
@@ -466,6 +468,9 @@
                 }
                 TargetBehavior::Late(..) => unreachable!("replaced by Events above"),
                 TargetBehavior::NotRun => Ok(response(503, ResponseMeaning::NotRun, Vec::new())),
+                TargetBehavior::OtherVersion => {
+                    Ok(response(421, ResponseMeaning::OtherVersion, Vec::new()))
+                }
                 TargetBehavior::Fails(error) => Err(error),
                 TargetBehavior::Hangs => {
                     let _open = open;
--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -535,3 +535,34 @@
         assert!(began.elapsed() < Duration::from_millis(50));
     });
 }
+
+/// A target that lacked the weights that one request required got no other requests either.
+#[test]
+fn target_with_other_weights_stays_in_service() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, before| match before {
+            0 => TargetBehavior::OtherVersion,
+            _ => TargetBehavior::Whole(200, "sent"),
+        }));
+        let gateway = site.gateway("vm1").await;
+        // Not idempotent: it may be sent elsewhere because it has not run.
+        let response = gateway.forward(request("r1", "/notice/1")).await;
+        assert_eq!(read(response).await, ("sent".to_owned(), true));
+        let seen = site.targets.seen.borrow().clone();
+        assert_eq!(seen.len(), 2);
+        assert_ne!(seen[0].target, seen[1].target);
+        assert!(reached_targets(&site, &gateway, "a").await.contains(&seen[0].target));
+    });
+}
+
+/// No target has the weights that the request requires.
+#[test]
+fn request_refused_for_its_version_by_all_targets_has_not_run() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::OtherVersion));
+        let gateway = site.gateway("vm1").await;
+        let refusal = gateway.forward(request("r1", "/notice/1")).await.err().unwrap();
+        assert!(refusal.reason.is_not_run(), "{refusal:?}");
+        assert_eq!(site.targets.seen.borrow().len(), 3, "each target refuses once");
+    });
+}
--- a/crates/ebonydock/src/gateway/transport.rs
+++ b/crates/ebonydock/src/gateway/transport.rs
@@ -37,9 +37,11 @@
     Ran,
     /// The target reports that it did not run the request.
     NotRun,
-    /// Another target responds at the address, or the target serves another version. The request did not
-    /// run.
+    /// Another target responds at the address. The request did not run.
     Misdirected,
+    /// The target has other weights than this request requires. The request did not run; the target serves
+    /// other requests.
+    OtherVersion,
     /// The response belongs to another request.
     Foreign,
 }
