Rollouts: public types and signatures

The store, the load reports and the placement filter are written at the same time and need the types. The bodies of most decisions are missing; no other module uses them yet. Only compiled, no tests.

--- a/crates/ebonydock/src/ids.rs
+++ b/crates/ebonydock/src/ids.rs
@@ -68,6 +68,8 @@
     ModelName,
     /// Plain service that requests are routed to.
     ServiceName,
+    /// Version of a service that targets run.
+    VersionName,
     /// Plan that workspaces subscribe to.
     PlanName,
     /// Batch job, named by its caller and unique in its workspace.
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod placement;
 mod platform;
+mod rollouts;
 mod routing;
 mod scheduling;
 mod service_calls;
@@ -44,7 +45,7 @@
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
-    RowKey, ServiceName, TargetId, VmId, WorkspaceId,
+    RowKey, ServiceName, TargetId, VersionName, VmId, WorkspaceId,
 };
 pub use jobs::ChunkTracker;
 pub use limits::{
@@ -68,6 +69,13 @@
     RowCondition, RowWrite, TableRow, TableStore, TableTransaction, TargetEntry, TargetRole,
     VmEntry,
 };
+pub use rollouts::{
+    AnswerSample, AnswerStage, AnswerTally, ClaimWait, CohortEvidence, CohortLoad, EvidenceSummary,
+    FleetEvidence, GroupTally, OrderFault, RolloutAnnouncement, RolloutController, RolloutLeader,
+    RolloutLoad, RolloutOrder, RolloutPhase, RolloutReason, RolloutRecord, RolloutReport,
+    RolloutSettings, RolloutStep, RolloutView, RouteShare, RouteTally, ShareTable, SlowLimits,
+    TargetCohort, VersionCohorts, VersionEvidence, claim_delay, rank_canary_targets, route_hash,
+};
 pub use routing::{DataCentreLoad, RetryBudget, rank_data_centres};
 pub use scheduling::{
     AffinityPolicy, CacheReport, Decision, FairQueue, PoolPolicy, PoolScheduler, PreemptionPolicy,
--- /dev/null
+++ b/crates/ebonydock/src/rollouts/judge.rs
@@ -0,0 +1,1 @@
+//! Compares the answers of new targets with those of old ones.
--- /dev/null
+++ b/crates/ebonydock/src/rollouts/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Unit tests of roll-outs.
