--- a/crates/ebonydock/src/rollouts/evidence.rs
+++ b/crates/ebonydock/src/rollouts/evidence.rs
@@ -5,9 +5,16 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ServiceName;
-use crate::rollouts::shares::ShareTable;
+use crate::placement::load::service_hash;
+use crate::rollouts::shares::{MAX_LISTED_ROUTES, OTHER_ROUTES, ShareTable, SlowLimits};
 use crate::rollouts::versions::TargetCohort;
 
+/// Groups of targets by their hash. Two of three canary targets share a group in a quarter of the roll-outs, all
+/// three in 1 of 144; leaving out a group leaves out a single bad target in any case.
+pub(crate) const TARGET_GROUPS: u8 = 12;
+/// Buckets of a histogram of times.
+pub(crate) const TIME_BUCKETS: u8 = 32;
+
 /// How far a request has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerStage {
@@ -15,7 +22,10 @@
     Sent,
     /// The answer has begun, this long after the request was sent.
     Began(Duration),
-    /// The request has ended.
+    /// The request was cancelled by the caller or the gateway this long after it was sent, and its answer had not
+    /// begun.
+    Abandoned(Duration),
+    /// The request has ended otherwise.
     Ended {
         /// Whether the target failed: a status of 500 or more, a broken answer, a reset or a time-out. Requests
         /// that the caller or the gateway cancelled have not failed.
@@ -48,6 +58,8 @@
     pub ended: u32,
     /// Failed ones among them.
     pub failed: u32,
+    /// Complete answers among them.
+    pub complete: u32,
     /// Answers that have begun while the limit for slow ones was known.
     pub began: u32,
     /// Slow ones among them.
@@ -102,22 +114,142 @@
     pub next: CohortEvidence,
 }
 
+impl AnswerTally {
+    /// Returns the counts added since `previous`.
+    pub(crate) fn since(&self, previous: &Self) -> Self {
+        Self {
+            sent: self.sent.saturating_sub(previous.sent),
+            ended: self.ended.saturating_sub(previous.ended),
+            failed: self.failed.saturating_sub(previous.failed),
+            complete: self.complete.saturating_sub(previous.complete),
+            began: self.began.saturating_sub(previous.began),
+            slow_first: self.slow_first.saturating_sub(previous.slow_first),
+            paced: self.paced.saturating_sub(previous.paced),
+            slow_pace: self.slow_pace.saturating_sub(previous.slow_pace),
+        }
+    }
+
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.sent += other.sent;
+        self.ended += other.ended;
+        self.failed += other.failed;
+        self.complete += other.complete;
+        self.began += other.began;
+        self.slow_first += other.slow_first;
+        self.paced += other.paced;
+        self.slow_pace += other.slow_pace;
+    }
+
+    fn record(&mut self, stage: AnswerStage, limits: SlowLimits) {
+        let is_slow = |limit: u8, time: Duration| u32::from(time_bucket(time) >= limit);
+        let knows_first = limits.first != u8::MAX;
+        let knows_pace = limits.pace != u8::MAX;
+        match stage {
+            AnswerStage::Sent => self.sent += 1,
+            AnswerStage::Began(time) if knows_first => {
+                self.began += 1;
+                self.slow_first += is_slow(limits.first, time);
+            }
+            AnswerStage::Began(_) => {}
+            AnswerStage::Abandoned(time) => {
+                self.ended += 1;
+                // A shorter wait says nothing of the time that the answer would have taken.
+                if knows_first && time_bucket(time) >= limits.first {
+                    self.began += 1;
+                    self.slow_first += 1;
+                }
+            }
+            AnswerStage::Ended { failed, pace } => {
+                self.ended += 1;
+                self.failed += u32::from(failed);
+                self.complete += u32::from(!failed && pace.is_some());
+                if let Some(pace) = pace.filter(|_| !failed && knows_pace) {
+                    self.paced += 1;
+                    self.slow_pace += is_slow(limits.pace, pace);
+                }
+            }
+        }
+    }
+}
+
+/// Returns the histogram bucket of a time. The bounds of the buckets are 1 ms and its multiples by powers of the
+/// square root of 2, up to 46 s: with powers of 2, 2.5 times slower answers could fall into the next bucket like
+/// answers that are 1.1 times slower.
+pub(crate) fn time_bucket(time: Duration) -> u8 {
+    let millis = (time.as_secs_f64() * 1000.0).max(1.0);
+    (2.0 * millis.log2()).min(f64::from(TIME_BUCKETS - 1)) as u8
+}
+
+fn count_time(histogram: &mut Vec<(u8, u32)>, time: Duration) {
+    let bucket = time_bucket(time);
+    match histogram.binary_search_by_key(&bucket, |(bucket, _)| *bucket) {
+        Ok(index) => histogram[index].1 += 1,
+        Err(index) => histogram.insert(index, (bucket, 1)),
+    }
+}
+
+impl CohortEvidence {
+    fn group(&mut self, group: u8) -> &mut GroupTally {
+        let index = self.groups.iter().position(|known| known.group == group);
+        let index = index.unwrap_or_else(|| {
+            self.groups.push(GroupTally { group, ..GroupTally::default() });
+            self.groups.len() - 1
+        });
+        &mut self.groups[index]
+    }
+
+    fn route(&mut self, route: u32) -> &mut RouteTally {
+        let index = self.routes.iter().position(|known| known.route == route);
+        let index = index.unwrap_or_else(|| {
+            self.routes.push(RouteTally { route, ..RouteTally::default() });
+            self.routes.len() - 1
+        });
+        &mut self.routes[index]
+    }
+}
+
 /// Evidence of this VM on a roll-out.
 #[derive(Debug)]
 pub struct VersionEvidence {
     report: RolloutReport,
+    /// Routes that are reported by themselves.
+    routes: Vec<u32>,
 }
 
 impl VersionEvidence {
     /// Opens the evidence on an order.
     pub fn open(service: &ServiceName, revision: u64) -> Self {
-        let service = crate::placement::load::service_hash(service);
-        Self { report: RolloutReport { service, revision, ..RolloutReport::default() } }
+        let service = service_hash(service);
+        let report = RolloutReport { service, revision, ..RolloutReport::default() };
+        Self { report, routes: Vec::new() }
     }
 
     /// Records that a request has reached a stage. `shares` tell which answers are slow.
     pub fn record(&mut self, sample: &AnswerSample, shares: &ShareTable) {
-        todo!("{sample:?} {shares:?}")
+        let cohort = match sample.cohort {
+            TargetCohort::Current => &mut self.report.current,
+            TargetCohort::Next => &mut self.report.next,
+            TargetCohort::Withheld => return,
+        };
+        let is_listed = self.routes.contains(&sample.route);
+        if !is_listed && self.routes.len() < MAX_LISTED_ROUTES {
+            self.routes.push(sample.route);
+        }
+        let route = if self.routes.contains(&sample.route) { sample.route } else { OTHER_ROUTES };
+        let limits = shares.slow_limits(sample.route);
+        let group = (sample.target % u32::from(TARGET_GROUPS)) as u8;
+        cohort.group(group).tally.record(sample.stage, limits);
+        let route = cohort.route(route);
+        route.tally.record(sample.stage, limits);
+        if sample.cohort == TargetCohort::Current {
+            match sample.stage {
+                AnswerStage::Began(time) => count_time(&mut route.first, time),
+                AnswerStage::Ended { failed: false, pace: Some(pace) } => {
+                    count_time(&mut route.pace, pace);
+                }
+                _ => {}
+            }
+        }
     }
 
     /// Returns the report to other VMs.
--- a/crates/ebonydock/src/rollouts/record.rs
+++ b/crates/ebonydock/src/rollouts/record.rs
@@ -6,9 +6,21 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{Epoch, ServiceName, VersionName, VmId};
+use crate::ownership::ranked;
 use crate::rollouts::order::RolloutOrder;
 use crate::rollouts::shares::ShareTable;
 
+/// Interval at which the leader renews its lease.
+pub(crate) const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+/// A lease ends this long after its last renewal; one renewal may be lost.
+pub(crate) const LEASE_DURATION: Duration = Duration::from_secs(3);
+/// Difference between the claims of two contenders; a claim is stored and seen by the others in this time.
+const CLAIM_SPACING: Duration = Duration::from_millis(100);
+/// Longest delay of a claim, so that a takeover does not take long if the first contenders cannot reach the store.
+const MAX_CLAIM_DELAY: Duration = Duration::from_secs(2);
+/// Rejected versions that are remembered; a row has room for many more.
+const MAX_REJECTED: usize = 32;
+
 /// Phase of a roll-out. A later phase never returns to an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum RolloutPhase {
@@ -169,7 +181,7 @@
 
 impl RolloutRecord {
     /// Opens the record of an accepted order. `from` is the current version. `previous` is the stored record of
-    /// the service, whose roll-out must have ended.
+    /// the service; if its roll-out still runs, the order ends it and its version is rejected.
     pub fn open(
         order: &RolloutOrder,
         from: VersionName,
@@ -177,6 +189,8 @@
         store_now: Duration,
         leader: RolloutLeader,
     ) -> Self {
+        let stopped = previous.and_then(|previous| previous.stop(RolloutReason::Superseded));
+        let previous = stopped.as_ref().or(previous);
         Self {
             service: order.service.clone(),
             revision: order.revision,
@@ -201,25 +215,48 @@
         if self.phase == RolloutPhase::Completed { &self.to } else { &self.from }
     }
 
-    /// Returns whether an order differs from the one of this record, so that it ends the running roll-out. The
-    /// same order written again does not while the roll-out runs.
+    /// Returns whether an order starts a roll-out of its own. The same order written again does not, nor does an
+    /// order for a version that was found bad or has taken over in the last roll-out.
     pub fn is_replaced_by(&self, order: &RolloutOrder) -> bool {
-        todo!("{order:?}")
+        // Without a verdict on the version, an order after the end is a new attempt.
+        let has_no_verdict = matches!(
+            self.reason,
+            RolloutReason::Undecided
+                | RolloutReason::NoTargets
+                | RolloutReason::Superseded
+                | RolloutReason::Withdrawn
+        );
+        let is_retried = self.phase == RolloutPhase::RolledBack && has_no_verdict;
+        order.revision > self.revision && (order.to != self.to || is_retried)
     }
 
     /// Returns the record with `leader` as the new leader.
     ///
     /// # Errors
     ///
-    /// Returns how long the lease of the present leader holds.
+    /// Returns how long the lease of the present leader holds; for ever if the roll-out has ended.
     pub fn claim(&self, store_now: Duration, leader: &RolloutLeader) -> Result<Self, ClaimWait> {
-        todo!("{store_now:?} {leader:?}")
+        if self.phase.is_final() {
+            return Err(ClaimWait(Duration::MAX));
+        }
+        let lease_end = self.renewed_at + LEASE_DURATION;
+        // A renewal far in the future was written by a clock that cannot be trusted.
+        let is_trusted = self.renewed_at <= store_now + LEASE_DURATION;
+        if self.leader.vm != leader.vm && is_trusted && store_now < lease_end {
+            return Err(ClaimWait(lease_end));
+        }
+        Ok(Self {
+            leader: leader.clone(),
+            epoch: Epoch(self.epoch.0 + 1),
+            renewed_at: store_now,
+            ..self.clone()
+        })
     }
 
     /// Returns the record with a renewed lease and newer evidence.
     #[must_use]
     pub fn renew(&self, store_now: Duration, evidence: EvidenceSummary) -> Self {
-        todo!("{store_now:?} {evidence:?}")
+        Self { renewed_at: store_now, evidence, ..self.clone() }
     }
 
     /// Returns the record after a step; `None` if the step would go back, or the roll-out has ended.
@@ -230,7 +267,19 @@
         reason: RolloutReason,
         evidence: EvidenceSummary,
     ) -> Option<Self> {
-        todo!("{phase:?} {shares:?} {reason:?} {evidence:?}")
+        if self.phase.is_final() || phase < self.phase {
+            return None;
+        }
+        let mut rejected = self.rejected.clone();
+        if phase.is_final() {
+            rejected.retain(|version| *version != self.to);
+        }
+        if phase == RolloutPhase::RolledBack {
+            rejected.push(self.to.clone());
+            rejected.drain(..rejected.len().saturating_sub(MAX_REJECTED));
+        }
+        let step = self.step + 1;
+        Some(Self { phase, shares, reason, evidence, step, rejected, ..self.clone() })
     }
 
     /// Returns the record of a roll-out that ends because its order was replaced or deleted.
@@ -242,5 +291,7 @@
 /// Returns how long a VM waits after the end of a lease before it claims the roll-out. `vms` are the live VMs
 /// including `vm`; their delays are spread so that usually one attempt is made.
 pub fn claim_delay(revision: u64, epoch: Epoch, vm: &VmId, vms: &[VmId]) -> Duration {
-    todo!("{revision} {epoch:?} {vm} {vms:?}")
+    let ranked = ranked(&format!("{revision}/{}", epoch.0), vms);
+    let rank = ranked.iter().position(|candidate| *candidate == vm).unwrap_or(ranked.len());
+    CLAIM_SPACING.saturating_mul(rank as u32).min(MAX_CLAIM_DELAY)
 }
--- a/crates/ebonydock/src/rollouts/shares.rs
+++ b/crates/ebonydock/src/rollouts/shares.rs
@@ -78,6 +78,13 @@
         self.entry(route).map(|entry| entry.slow).unwrap_or_default()
     }
 
+    /// Returns whether no route has a larger share than in `other`.
+    pub(crate) fn is_within(&self, other: &Self) -> bool {
+        let is_lower = |route| self.route_share(route) <= other.route_share(route);
+        let mut routes = self.routes.iter().chain(&other.routes);
+        is_lower(OTHER_ROUTES) && routes.all(|entry| is_lower(entry.route))
+    }
+
     /// Divides `share` of all requests among routes so that each gets about the same number of requests at the new
     /// version, and at most half of its requests. `requests` are the recent requests by route, with their limits.
     pub(crate) fn divide(share: f64, requests: &[(u32, f64, SlowLimits)]) -> Self {
