Roll-outs: orders and versions are decoded, and placement keeps cohorts of targets apart

The adapter ignored `rollout/SERVICE` rows, the version of a server and the bounds of roll-outs. It now decodes them: `GatewaySettings::rollouts` (`None` without `exposure_share`), `ServingTarget::version` (empty if absent or no text) and `OperatorRecord::Rollout`, with a reason for each kind of bad input.

Placement filters targets by cohort. A request for the new version that finds no free target there goes to the current one at once; waiting requests wait for the current version, or for the new one while the old targets are drained. Without an assignment all targets are current.

--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -8,9 +8,10 @@
 use crate::clock::monotonic;
 use crate::gateway::catalog::GatewayConfig;
 use crate::gateway::runtime::GatewayCore;
-use crate::ids::DataCentreId;
+use crate::ids::{DataCentreId, ServiceName, VersionName};
 use crate::placement::slots::ServingTarget;
 use crate::platform::rows::{RowError, RowResult, StoredRow, read_all};
+use crate::rollouts::RolloutOrder;
 
 /// Time after which the store responds to a feed request even without a change. Connections may stall
 /// without an error, and changes by operators and callers must be seen within two to three seconds even
@@ -73,16 +74,55 @@
     Config(Box<GatewayConfig>),
     /// A data centre is out of service: its targets get no requests.
     DataCentreOut(DataCentreId),
+    /// An order to move a service to another version. Its service may not be configured.
+    Rollout(RolloutOrder),
     /// A record that the gateway ignores.
     Other,
 }
 
+/// State of a roll-out as the platform sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutState {
+    /// The roll-out runs.
+    Running,
+    /// The new version has taken over, and the old targets may stop.
+    Completed,
+    /// The new version gets no requests.
+    RolledBack,
+}
+
+/// What the platform is told of a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RolloutStatus<'a> {
+    /// State.
+    pub state: RolloutState,
+    /// New version.
+    pub to: &'a VersionName,
+}
+
+impl RolloutState {
+    /// Returns the name of the state.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled_back",
+        }
+    }
+}
+
 /// Decodes the rows of the platform's tables.
 pub trait RowDecoder {
     /// Returns the name of the table in which targets register.
     fn target_table(&self) -> &'static str;
     /// Returns the name of the table that operators write.
     fn operator_table(&self) -> &'static str;
+    /// Returns the name of the table in which the platform reads the state of roll-outs.
+    fn status_table(&self) -> &'static str;
+    /// Returns the key of a service's order in the operators' table, which is also that of its status.
+    fn rollout_key(&self, service: &ServiceName) -> String;
+    /// Encodes the status of a roll-out.
+    fn encode_rollout_status(&self, status: &RolloutStatus<'_>) -> Vec<u8>;
     /// Decodes the entry of a target.
     ///
     /// # Errors
@@ -367,7 +407,7 @@
                     log::info!(data_centre = data_centre.as_str(); "data centre out of service");
                     self.0.insert(row.key, data_centre);
                 }
-                Ok(OperatorRecord::Other) => {}
+                Ok(OperatorRecord::Rollout(_) | OperatorRecord::Other) => {}
                 Err(reason) => {
                     log::error!(key = row.key, version = row.version, reason = reason; "operator record unreadable");
                 }
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -21,6 +21,7 @@
 use crate::ids::{ServiceName, TargetId, WorkspaceId};
 use crate::placement::slots::SlotOutcome;
 use crate::placement::wait_queue::{SlotNeed, SlotRefusal};
+use crate::rollouts::TargetCohort;
 use crate::scheduling::RequestClass;
 
 /// Responses without events are buffered up to this size before the caller gets any of them, so that the
@@ -467,6 +468,7 @@
         if history.runs + history.not_run as u32 > 0 { admitted.ends_at } else { place_by };
     SlotNeed {
         service: admitted.service.clone(),
+        cohort: TargetCohort::Current,
         class: admitted.class,
         rank: admitted.rank,
         prefix,
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -19,6 +19,7 @@
 use crate::gateway::transport::TargetTransport;
 use crate::ids::{DataCentreId, VmId};
 use crate::platform::rows::RowStore;
+use crate::rollouts::RolloutSettings;
 
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// A stopping VM keeps serving until nothing has run for this long, so that the last bytes of responses
@@ -48,6 +49,8 @@
     pub learns_target_speeds: bool,
     /// Whether scarce capacity is divided among workspaces, and refusals name a time at which there is room.
     pub divides_fairly: bool,
+    /// Bounds of roll-outs of versions; `None` if versions of targets make no difference.
+    pub rollouts: Option<RolloutSettings>,
 }
 
 /// A running gateway. Clones refer to the same gateway.
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -53,7 +53,7 @@
     BodyBudget, BudgetShare, ConnectionPool, PooledBody, PooledResponse, SendError,
 };
 pub use events::{EventSplitter, OversizedEvent, StreamEvent};
-pub use followers::{OperatorRecord, RowDecoder};
+pub use followers::{OperatorRecord, RolloutState, RolloutStatus, RowDecoder};
 pub use forward::{ForwardResponse, GatewayRefusal, RefusalReason, ResponseBody};
 pub use handle::{Gateway, GatewaySettings};
 pub use job_api::{JobApiResult, JobRefusal, JobResultPage};
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -13,16 +13,17 @@
 
 use crate::gateway::catalog::{BatchPolicy, GatewayConfig, RouteClass};
 use crate::gateway::connections::{ConnectionPool, SendError};
-use crate::gateway::followers::{OperatorRecord, RowDecoder};
+use crate::gateway::followers::{OperatorRecord, RolloutStatus, RowDecoder};
 use crate::gateway::handle::{Gateway, GatewaySettings};
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::tests::catalog::{config, route};
 use crate::gateway::transport::{ResponseMeaning, TargetAttempt, TargetResponse, TargetTransport};
-use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::ids::{DataCentreId, ServiceName, TargetId, VersionName, VmId};
 use crate::placement::slots::ServingTarget;
 use crate::platform::rows::{
     RowError, RowId, RowPage, RowResult, RowStore, RowTransaction, StoredRow,
 };
+use crate::rollouts::{RolloutOrder, RolloutSettings};
 
 /// Time that other calls to the store take.
 const CALL_TIME: Duration = Duration::from_millis(4);
@@ -250,7 +251,8 @@
     }
 }
 
-/// Decodes operator records as indexes into a list of configurations, and targets by their keys.
+/// Decodes operator records as indexes into a list of configurations or as orders `VERSION SECONDS`, and targets
+/// by their keys, which may end in `@VERSION`.
 #[derive(Default)]
 pub(super) struct FakeDecoder {
     pub(super) configs: RefCell<Vec<GatewayConfig>>,
@@ -265,6 +267,18 @@
         "operators"
     }
 
+    fn status_table(&self) -> &'static str {
+        "status"
+    }
+
+    fn rollout_key(&self, service: &ServiceName) -> String {
+        format!("rollout/{service}")
+    }
+
+    fn encode_rollout_status(&self, status: &RolloutStatus<'_>) -> Vec<u8> {
+        format!("{} {}", status.state.as_str(), status.to).into_bytes()
+    }
+
     fn decode_target(&self, row: &StoredRow) -> Result<ServingTarget, String> {
         if row.value == b"unreadable" {
             return Err("unreadable".to_owned());
@@ -276,6 +290,7 @@
             address: "127.0.0.1:1".parse().map_err(|_| "address")?,
             data_centre: DataCentreId::from("a"),
             slots: 2,
+            version: VersionName::from(row.key.split_once('@').map_or("", |(_, version)| version)),
             leaving: row.value == b"leaving",
             cold_for: Duration::ZERO,
         })
@@ -285,6 +300,14 @@
         if let Some(data_centre) = row.key.strip_prefix("out/") {
             return Ok(OperatorRecord::DataCentreOut(DataCentreId::from(data_centre)));
         }
+        if let Some(service) = row.key.strip_prefix("rollout/") {
+            let text = String::from_utf8_lossy(&row.value);
+            let (to, duration_s) = text.split_once(' ').ok_or("no duration")?;
+            let duration_s = duration_s.parse().map_err(|_| "no number")?;
+            let service = ServiceName::from(service);
+            let order = RolloutOrder::read(&service, true, to, duration_s, row.version);
+            return Ok(OperatorRecord::Rollout(order.map_err(|fault| fault.to_string())?));
+        }
         let index = row.value.first().copied().ok_or("empty")?;
         let config = self.configs.borrow().get(usize::from(index)).cloned();
         Ok(OperatorRecord::Config(Box::new(config.ok_or("unknown")?)))
@@ -486,11 +509,18 @@
     pub(super) store: Rc<FakeStore>,
     pub(super) decoder: Rc<FakeDecoder>,
     pub(super) targets: Rc<FakeTargets>,
+    /// Settings of the gateways that are opened later.
+    pub(super) rollouts: Cell<Option<RolloutSettings>>,
 }
 
 impl FakeSite {
     pub(super) fn open(targets: Rc<FakeTargets>) -> Self {
-        let site = Self { store: Rc::default(), decoder: Rc::default(), targets };
+        let site = Self {
+            store: Rc::default(),
+            decoder: Rc::default(),
+            targets,
+            rollouts: Cell::default(),
+        };
         let terms = BatchPolicy {
             completion_target: Duration::from_secs(18),
             max_queue_time: Duration::from_mins(1),
@@ -529,6 +559,7 @@
             deregistration_delay: Duration::from_millis(100),
             learns_target_speeds: false,
             divides_fairly: false,
+            rollouts: self.rollouts.get(),
         };
         let gateway = Gateway::open(
             settings,
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -39,9 +39,9 @@
     LoadUpdate, OperatorRecord, OversizedEvent, PartAnswer, PartSet, PooledBody, PooledResponse,
     PromptFailure, PromptPart, PromptReport, QuarantineList, QuotaLedger, QuotaState,
     RefusalReason, ReportFrame, ReportInterest, ReportedQuarantine, RequestId, ResponseBody,
-    ResponseMeaning, RouteBackend, RouteCatalog, RouteClass, RouteMiss, RowDecoder, SendError,
-    ServiceProfile, SpentQuota, StreamEvent, TargetAttempt, TargetBodyStream, TargetResponse,
-    TargetTransport, TokenDemand, open_decision_log,
+    ResponseMeaning, RolloutState, RolloutStatus, RouteBackend, RouteCatalog, RouteClass,
+    RouteMiss, RowDecoder, SendError, ServiceProfile, SpentQuota, StreamEvent, TargetAttempt,
+    TargetBodyStream, TargetResponse, TargetTransport, TokenDemand, open_decision_log,
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
--- a/crates/ebonydock/src/placement/batch_balance.rs
+++ b/crates/ebonydock/src/placement/batch_balance.rs
@@ -55,7 +55,9 @@
         let waiting = queue.online_count() as u32 + self.fleet.waiting(service);
         let empty = ServiceUsage { waiting, ..ServiceUsage::default() };
         let usable = self.targets.values().filter(|slots| {
-            slots.target.service == *service && slots.is_usable(now, &self.out_of_service)
+            slots.target.service == *service
+                && slots.cohort == self.main_cohort(service)
+                && slots.is_usable(now, &self.out_of_service)
         });
         usable.fold(empty, |usage, slots| ServiceUsage {
             slots: usage.slots + slots.target.slots,
--- a/crates/ebonydock/src/placement/dispatcher.rs
+++ b/crates/ebonydock/src/placement/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::placement::wait_queue::{
     DecidedWaiter, ServiceQueue, SlotNeed, SlotRefusal, SlotWaiter,
 };
+use crate::rollouts::TargetCohort;
 use crate::scheduling::RequestClass;
 
 /// Added to the utilization of targets in other data centres. Traffic between data centres costs more
@@ -81,6 +82,8 @@
     /// Incarnations that announced that they are about to stop, with the time of their last announcement.
     /// Their entries may disappear and return meanwhile.
     leaving: HashMap<IncarnationKey, Duration>,
+    /// Services whose requests all go to the new version, because the old targets are drained.
+    pub(crate) draining: HashSet<ServiceName>,
 }
 
 /// Id, start time in Unix milliseconds, and address.
@@ -110,6 +113,7 @@
             turns: TurnOrder::open(local_vm),
             report_age: Duration::ZERO,
             leaving: HashMap::new(),
+            draining: HashSet::new(),
         }
     }
 
@@ -248,7 +252,9 @@
     /// Returns whether a service has any target in service.
     pub fn has_targets(&self, service: &ServiceName) -> bool {
         self.targets.values().any(|slots| {
-            slots.target.service == *service && slots.is_in_service(&self.out_of_service)
+            slots.target.service == *service
+                && slots.cohort == self.main_cohort(service)
+                && slots.is_in_service(&self.out_of_service)
         })
     }
 
@@ -256,6 +262,7 @@
     fn has_candidate(&self, need: &SlotNeed) -> bool {
         self.targets.iter().any(|(id, slots)| {
             slots.target.service == need.service
+                && slots.cohort == self.main_cohort(&need.service)
                 && slots.is_in_service(&self.out_of_service)
                 && !need.excluded.contains(id)
         })
@@ -277,6 +284,14 @@
         now: Duration,
         need: SlotNeed,
     ) -> PlacementOutcome {
+        // Waiting requests are for the main cohort, so a request for the new version does not overtake them.
+        if self.main_cohort(&need.service) == TargetCohort::Current
+            && need.cohort == TargetCohort::Next
+            && let Some(target) = self.place(queue, now, &need)
+        {
+            return PlacementOutcome::Placed(target);
+        }
+        let need = SlotNeed { cohort: TargetCohort::Current, ..need };
         let ahead = queue.ahead_of(&need);
         if ahead == 0
             && let Some(target) = self.place(queue, now, &need)
@@ -358,8 +373,10 @@
             RequestClass::Online => queue.max_queued_at_target(slots, self.report_age),
             RequestClass::Batch => 0,
         };
+        let cohort = self.cohort_for(need);
         let candidates = self.targets.iter().filter(|(id, slots)| {
             slots.target.service == need.service
+                && slots.cohort == cohort
                 && slots.in_use() < slots.target.slots + max_queued(slots.target.slots)
                 && slots.is_usable(now, &self.out_of_service)
                 && !need.excluded.contains(id)
--- a/crates/ebonydock/src/placement/mod.rs
+++ b/crates/ebonydock/src/placement/mod.rs
@@ -5,6 +5,7 @@
 //! [`RequestDispatcher`] holds the state; the gateway reaches it through [`SlotPlacement`] for each request.
 
 pub(crate) mod batch_balance;
+mod cohorts;
 mod cold_start;
 pub(crate) mod dispatcher;
 pub(crate) mod fleet_load;
--- a/crates/ebonydock/src/placement/slots.rs
+++ b/crates/ebonydock/src/placement/slots.rs
@@ -6,9 +6,10 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::ids::{DataCentreId, ServiceName, TargetId};
+use crate::ids::{DataCentreId, ServiceName, TargetId, VersionName};
 use crate::placement::cold_start::{ColdStartCapacity, ColdStartTurns};
 use crate::placement::load::target_hash;
+use crate::rollouts::TargetCohort;
 use crate::scheduling::RequestClass;
 
 /// Backoff after a target's first failure; doubles with each further one.
@@ -31,6 +32,8 @@
     pub address: SocketAddr,
     /// Data centre.
     pub data_centre: DataCentreId,
+    /// Version of the service that it runs; empty if unknown.
+    pub version: VersionName,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it is shutting down and accepts no new requests.
@@ -68,6 +71,8 @@
     pub(crate) target: ServingTarget,
     /// Identifies the target in load reports.
     pub(crate) hash: u32,
+    /// Which requests it gets while a roll-out runs.
+    pub(crate) cohort: TargetCohort,
     /// Online requests and batch items of this VM.
     online: u32,
     batch: u32,
@@ -87,6 +92,7 @@
     pub(crate) fn open(target: ServingTarget, now: Duration) -> Self {
         Self {
             hash: target_hash(&target.id),
+            cohort: TargetCohort::Current,
             cold_start: ColdStartTurns::open(now, target.cold_for),
             target,
             online: 0,
--- a/crates/ebonydock/src/placement/tests/dispatcher.rs
+++ b/crates/ebonydock/src/placement/tests/dispatcher.rs
@@ -10,11 +10,12 @@
 use yare::parameterized;
 
 use crate::gateway::{ConnectionPool, LoadReport};
-use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::ids::{DataCentreId, ServiceName, TargetId, VersionName, VmId};
 use crate::placement::dispatcher::{PlacementOutcome, RequestDispatcher};
 use crate::placement::load::{ReportedLoad, target_hash};
 use crate::placement::slots::{ServingTarget, SlotOutcome};
 use crate::placement::wait_queue::{SlotNeed, SlotWaiter};
+use crate::rollouts::TargetCohort;
 use crate::scheduling::RequestClass;
 
 const SLOTS: u32 = 8;
@@ -30,6 +31,7 @@
         service: ServiceName::from("llm"),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: DataCentreId::from(data_centre),
+        version: VersionName::from("v1"),
         slots: SLOTS,
         leaving: false,
         cold_for: Duration::ZERO,
@@ -57,6 +59,7 @@
 fn need(class: RequestClass, received: u64) -> SlotNeed {
     SlotNeed {
         service: ServiceName::from("llm"),
+        cohort: TargetCohort::Current,
         class,
         rank: 0,
         prefix: None,
--- a/crates/ebonydock/src/placement/tests/emulator.rs
+++ b/crates/ebonydock/src/placement/tests/emulator.rs
@@ -11,11 +11,12 @@
 use rand::{RngExt, SeedableRng};
 
 use crate::gateway::LoadReport;
-use crate::ids::{DataCentreId, ServiceName, TargetId, VmId};
+use crate::ids::{DataCentreId, ServiceName, TargetId, VersionName, VmId};
 use crate::placement::dispatcher::{PlacementOutcome, RequestDispatcher};
 use crate::placement::idle_connections::IdleConnections;
 use crate::placement::slots::{ServingTarget, SlotOutcome};
 use crate::placement::wait_queue::{SlotNeed, SlotWaiter};
+use crate::rollouts::TargetCohort;
 use crate::scheduling::RequestClass;
 
 const TICK_MS: u64 = 5;
@@ -150,6 +151,7 @@
                 service: service(),
                 address: ([127, 0, 0, 1], 1 + number as u16).into(),
                 data_centre: data_centre(number),
+                version: VersionName::from("v1"),
                 slots: site.slots,
                 leaving: false,
                 cold_for: Duration::ZERO,
@@ -198,6 +200,7 @@
             if is_online { self.site.latency_objective_ms * 7 / 10 } else { 60_000 };
         let need = SlotNeed {
             service: service(),
+            cohort: TargetCohort::Current,
             class,
             rank: if is_online { 0 } else { 2 },
             prefix: None,
--- a/crates/ebonydock/src/placement/tests/mod.rs
+++ b/crates/ebonydock/src/placement/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Unit tests of placement.
 
+mod cohorts;
 mod dispatcher;
 pub(crate) mod emulator;
 mod load;
--- a/crates/ebonydock/src/placement/wait_queue.rs
+++ b/crates/ebonydock/src/placement/wait_queue.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::{ServiceName, TargetId};
+use crate::rollouts::TargetCohort;
 use crate::scheduling::RequestClass;
 
 /// Window over which the placement rate is measured.
@@ -23,6 +24,9 @@
 pub struct SlotNeed {
     /// Requested service.
     pub service: ServiceName,
+    /// Version that the request was selected for. A request for the new version that finds no free target there
+    /// goes to the current one.
+    pub cohort: TargetCohort,
     /// Class; online requests go before batch items.
     pub class: RequestClass,
     /// Rank; lower goes first.
