Roll-outs: the gateway follows orders, selects versions, reports evidence and leads

Orders were decoded and not followed. `rollouts/leadership.rs` follows the stored roll-outs while one runs (one read at the start), accepts orders, and leads by the lease in the record's row; every step is written before it takes effect, a stop is announced first, and a row whose write had no clear outcome is read again. `rollouts/service.rs` holds the state of a VM; `gateway/rollout_host.rs` connects both with requests, placement, load reports and metrics through the trait `RolloutHost`. Each attempt selects a version; its outcome is recorded by the lease of its slot. Batch items at drained targets are preempted.

--- a/crates/ebonydock/src/gateway/catalog.rs
+++ b/crates/ebonydock/src/gateway/catalog.rs
@@ -206,6 +206,14 @@
         self.services.get(name)
     }
 
+    /// Returns the longest time-out of the routes to a service.
+    pub fn longest_timeout(&self, service: &ServiceName) -> Duration {
+        let routes = self.hosts.values().flat_map(HashMap::values);
+        let routes =
+            routes.filter(|route| route.backends.iter().any(|backend| backend.service == *service));
+        routes.map(|route| route.timeout).max().unwrap_or_default()
+    }
+
     /// Returns the names of all services.
     pub fn service_names(&self) -> HashSet<ServiceName> {
         self.services.keys().cloned().collect()
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -21,7 +21,6 @@
 use crate::ids::{ServiceName, TargetId, WorkspaceId};
 use crate::placement::slots::SlotOutcome;
 use crate::placement::wait_queue::{SlotNeed, SlotRefusal};
-use crate::rollouts::TargetCohort;
 use crate::scheduling::RequestClass;
 
 /// Responses without events are buffered up to this size before the caller gets any of them, so that the
@@ -283,9 +282,9 @@
             let lease = tokio::select! {
                 biased;
                 () = self.quarantined(admitted) => return Err(quarantine_refusal(history)),
-                lease = self.acquire(slot_need(admitted, history, place_by)) => lease,
+                lease = self.acquire(self.slot_need(admitted, history, place_by)) => lease,
             };
-            let lease = lease.map_err(|refusal| refusal_for(admitted, history, refusal))?;
+            let mut lease = lease.map_err(|refusal| refusal_for(admitted, history, refusal))?;
             let Some(target) = self.target(lease.target()) else {
                 lease.release(SlotOutcome::Misdirected);
                 continue;
@@ -304,6 +303,7 @@
             // Counted before sending, because a request whose future is dropped meanwhile may have run.
             history.runs += 1;
             let sent_at = monotonic();
+            lease.record_sending(self.track_answer(admitted, &target));
             let response = self.transport.send(attempt);
             let outcome = match admitted.class {
                 // Online requests end at the caller's deadline.
@@ -321,6 +321,8 @@
             let incarnation = target.incarnation_hash();
             match outcome {
                 Ok(response) if response.meaning == ResponseMeaning::Ran => {
+                    let has_events = response.has_events && response.status.is_success();
+                    lease.record_head(has_events, response.status.is_server_error());
                     return Ok(RunningAttempt { response, lease, incarnation });
                 }
                 Ok(response) => Self::record_unusable_response(lease, &response, history),
@@ -461,24 +463,6 @@
     SendError::Lost("the deadline passed before the response was complete".to_owned())
 }
 
-fn slot_need(admitted: &AdmittedRequest, history: &AttemptHistory, place_by: Duration) -> SlotNeed {
-    let prefix = admitted.request.demand.as_ref().and_then(TokenDemand::shared_prefix);
-    // A request that failed once is late already, so it may wait for a target up to its deadline.
-    let place_by =
-        if history.runs + history.not_run as u32 > 0 { admitted.ends_at } else { place_by };
-    SlotNeed {
-        service: admitted.service.clone(),
-        cohort: TargetCohort::Current,
-        class: admitted.class,
-        rank: admitted.rank,
-        prefix,
-        excluded: history.excluded.clone(),
-        order: admitted.order,
-        place_by,
-        critical_at: admitted.critical_at,
-    }
-}
-
 fn refusal_for(
     admitted: &AdmittedRequest,
     history: &AttemptHistory,
@@ -508,6 +492,29 @@
 }
 
 impl GatewayCore {
+    fn slot_need(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &AttemptHistory,
+        place_by: Duration,
+    ) -> SlotNeed {
+        let prefix = admitted.request.demand.as_ref().and_then(TokenDemand::shared_prefix);
+        // A request that failed once is late already, so it may wait for a target up to its deadline.
+        let place_by =
+            if history.runs + history.not_run as u32 > 0 { admitted.ends_at } else { place_by };
+        SlotNeed {
+            service: admitted.service.clone(),
+            cohort: self.select_cohort(admitted),
+            class: admitted.class,
+            rank: admitted.rank,
+            prefix,
+            excluded: history.excluded.clone(),
+            order: admitted.order,
+            place_by,
+            critical_at: admitted.critical_at,
+        }
+    }
+
     fn check_attempts(
         &self,
         admitted: &AdmittedRequest,
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -436,7 +436,7 @@
         admitted: &AdmittedRequest,
         attempt: RunningAttempt,
     ) -> ItemRunEnd {
-        let RunningAttempt { response, lease, incarnation } = attempt;
+        let RunningAttempt { response, mut lease, incarnation } = attempt;
         let has_explicit_end = response.has_explicit_end;
         let mut body = response.body;
         let mut splitter = EventSplitter::default();
@@ -454,7 +454,9 @@
             match part {
                 Ok(Some(Ok(bytes))) => {
                     splitter.push(&bytes);
-                    if let Err(reason) = self.append_events(&mut splitter, &mut last_id) {
+                    let appended = self.append_events(&mut splitter, &mut last_id);
+                    lease.record_events(*appended.as_ref().unwrap_or(&0));
+                    if let Err(reason) = appended {
                         // What the target sent before was no output of the item either.
                         self.with_partial(|partial| {
                             partial.text.truncate(earlier_bytes);
@@ -498,7 +500,7 @@
         end
     }
 
-    /// Appends the complete events to the partial output. `last_id` is the id of the attempt's last event.
+    /// Appends the complete events to the partial output and returns their number. `last_id` is the id of the attempt's last event.
     ///
     /// # Errors
     ///
@@ -507,18 +509,20 @@
         &self,
         splitter: &mut EventSplitter,
         last_id: &mut Option<u64>,
-    ) -> Result<(), String> {
+    ) -> Result<u32, String> {
+        let mut events = 0;
         while let Some(event) = splitter.next_event().map_err(|error| error.to_string())? {
             if event.id <= *last_id {
                 return Err(format!("event id {:?} after {last_id:?}", event.id));
             }
             *last_id = event.id;
             self.append_event(&event.data(), event.id);
+            events += 1;
             if self.with_partial(|partial| partial.text.len()) > MAX_OUTPUT_BYTES {
                 return Err(format!("the output is larger than {MAX_OUTPUT_BYTES} bytes"));
             }
         }
-        Ok(())
+        Ok(events)
     }
 
     fn append_event(&self, data: &[u8], id: Option<u64>) {
--- a/crates/ebonydock/src/gateway/leases.rs
+++ b/crates/ebonydock/src/gateway/leases.rs
@@ -15,6 +15,7 @@
 use crate::placement::dispatcher::PlacementOutcome;
 use crate::placement::slots::SlotOutcome;
 use crate::placement::wait_queue::{SlotNeed, SlotRefusal, SlotWaiter};
+use crate::rollouts::answer_track::AnswerTrack;
 use crate::scheduling::RequestClass;
 
 /// Interval at which the wait queues are checked without another trigger, because deadlines, cold starts
@@ -39,11 +40,14 @@
     outcome: SlotOutcome,
     /// Number of the batch item in `LeaseRegistry::preemptible`.
     preemptible: Option<u64>,
+    /// Set once the request is sent, where roll-outs are enabled.
+    answer: Option<Box<AnswerTrack>>,
 }
 
 /// Slot of a batch item that can be preempted.
 struct PreemptibleSlot {
     service: ServiceName,
+    target: TargetId,
     order: Duration,
     critical_at: Option<Duration>,
     /// Signals the preemption; set once the response has begun.
@@ -66,6 +70,7 @@
             self.core.leases.next_preemptible.set(number + 1);
             let slot = PreemptibleSlot {
                 service: need.service.clone(),
+                target: self.target.clone(),
                 order: need.order,
                 critical_at: need.critical_at,
                 preempt: None,
@@ -85,6 +90,38 @@
         Some(receiver)
     }
 
+    /// Records that the request is sent.
+    pub(crate) fn record_sending(&mut self, answer: Option<Box<AnswerTrack>>) {
+        self.answer = answer;
+    }
+
+    /// Records the head of the response. `has_events` tells whether the answer begins with its first event.
+    pub(crate) fn record_head(&mut self, has_events: bool, has_failed: bool) {
+        if let Some(answer) = &mut self.answer
+            && let Some(stage) = answer.record_head(monotonic(), has_events, has_failed)
+        {
+            self.core.record_stage(&answer.subject, stage);
+        }
+    }
+
+    /// Records that the first event of the response has arrived; it is counted later.
+    pub(crate) fn record_beginning(&mut self) {
+        if let Some(answer) = &mut self.answer
+            && let Some(stage) = answer.record_beginning(monotonic())
+        {
+            self.core.record_stage(&answer.subject, stage);
+        }
+    }
+
+    /// Records events of the response.
+    pub(crate) fn record_events(&mut self, events: u32) {
+        if let Some(answer) = &mut self.answer
+            && let Some(stage) = answer.record_events(monotonic(), events)
+        {
+            self.core.record_stage(&answer.subject, stage);
+        }
+    }
+
     pub(crate) fn release(mut self, outcome: SlotOutcome) {
         self.outcome = outcome;
     }
@@ -96,6 +133,9 @@
             self.core.leases.preemptible.borrow_mut().remove(&number);
         }
         let now = monotonic();
+        if let Some(answer) = self.answer.take() {
+            self.core.end_answer(&answer, self.outcome);
+        }
         let mut dispatcher = self.core.placement();
         dispatcher.release(now, &self.target, self.class, self.outcome);
         if self.outcome == SlotOutcome::Responded && self.class == RequestClass::Online {
@@ -151,6 +191,7 @@
             placed_at: monotonic(),
             outcome: SlotOutcome::Cancelled,
             preemptible: None,
+            answer: None,
         }
     }
 
@@ -170,9 +211,30 @@
         }
     }
 
+    /// Preempts the batch items at old targets that are drained, so that they go on at new ones.
+    fn preempt_drained(&self) {
+        let dispatcher = self.dispatcher.borrow();
+        if !dispatcher.is_draining() {
+            return;
+        }
+        let mut slots = self.leases.preemptible.borrow_mut();
+        // An item whose response has not begun is preempted at a later call.
+        let drained = slots.extract_if(.., |_, slot| {
+            slot.preempt.is_some() && dispatcher.is_drained(&slot.target)
+        });
+        for (_, slot) in drained {
+            self.metrics.count("item", "drained");
+            if let Some(preempt) = slot.preempt {
+                // The item may have ended meanwhile.
+                let _ = preempt.send(());
+            }
+        }
+    }
+
     /// Preempts batch items in favour of online requests, the latest deadline first, and lets others start.
     fn balance_batch(self: &Rc<Self>) {
         let now = monotonic();
+        self.preempt_drained();
         let preemptions = self.placement().balance_batch(now);
         for preemption in preemptions {
             let mut slots = self.leases.preemptible.borrow_mut();
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -8,6 +8,7 @@
 use crate::gateway::report_routes::ReportInterest;
 use crate::ids::{VmId, WorkspaceId};
 use crate::placement::load::{ReportedLoad, ReportedWait, VmReport};
+use crate::rollouts::RolloutNews;
 
 /// Quota that a VM has spent for a workspace in its current incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -111,6 +112,10 @@
     pub waiting: Vec<ReportedWait>,
     /// Failed requests and quarantines of prompt parts; `None` if there are none.
     pub prompts: Option<Box<PromptReport>>,
+    /// News of roll-outs; `None` if none runs. Encoded behind the rest of the report, so that reports without them
+    /// do not become larger.
+    #[serde(skip)]
+    pub rollouts: Option<Box<RolloutNews>>,
 }
 
 impl VmReport for LoadReport {
@@ -148,7 +153,10 @@
 impl ReportFrame<'_> {
     /// Decodes the report.
     pub(crate) fn decode(&self) -> Result<LoadReport, postcard::Error> {
-        let mut report: LoadReport = postcard::from_bytes(self.content)?;
+        let (mut report, rest) = postcard::take_from_bytes::<LoadReport>(self.content)?;
+        if !rest.is_empty() {
+            report.rollouts = Some(Box::new(postcard::from_bytes(rest)?));
+        }
         (report.incarnation, report.sequence) = (self.incarnation, self.sequence);
         Ok(report)
     }
@@ -176,8 +184,11 @@
 impl EncodedReport {
     /// Encodes the report of `vm`.
     pub(crate) fn encode(vm: &VmId, report: &LoadReport) -> Self {
-        let content = postcard::to_stdvec(report)
-            .unwrap_or_else(|error| unreachable!("reports always encode: {error}"));
+        let failed = |error| unreachable!("reports always encode: {error}");
+        let mut content = postcard::to_stdvec(report).unwrap_or_else(failed);
+        if let Some(news) = &report.rollouts {
+            content.extend(postcard::to_stdvec(news).unwrap_or_else(failed));
+        }
         Self {
             vm: vm.clone(),
             incarnation: report.incarnation,
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a gateway in the `OpenMetrics` text format.
 
+use std::collections::HashMap;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -10,6 +12,8 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::gateway::forward::AdmittedRequest;
+use crate::ids::{ServiceName, VersionName};
+use crate::rollouts::answer_track::AnswerSubject;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabels {
@@ -22,6 +26,12 @@
     rank: u32,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct VersionLabels {
+    service: String,
+    version: String,
+}
+
 fn seconds_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.004, 1.8, 14))
 }
@@ -40,6 +50,9 @@
     quota_dropped: Gauge,
     quarantines: Gauge,
     dropped_messages: Gauge,
+    version_answers: Family<VersionLabels, Counter>,
+    version_failures: Family<VersionLabels, Counter>,
+    rollout_share: Family<VersionLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl GatewayMetrics {
@@ -57,6 +70,9 @@
             quota_dropped: Gauge::default(),
             quarantines: Gauge::default(),
             dropped_messages: Gauge::default(),
+            version_answers: Family::default(),
+            version_failures: Family::default(),
+            rollout_share: Family::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -95,6 +111,21 @@
             "Messages of other VMs that could not be decoded",
             metrics.dropped_messages.clone(),
         );
+        registry.register(
+            "version_answers",
+            "Requests that ended at targets, by version; only where roll-outs are enabled",
+            metrics.version_answers.clone(),
+        );
+        registry.register(
+            "version_failures",
+            "Failed ones among them",
+            metrics.version_failures.clone(),
+        );
+        registry.register(
+            "rollout_share",
+            "Share of a service's requests that the version of its last roll-out gets",
+            metrics.rollout_share.clone(),
+        );
         metrics
     }
 
@@ -109,6 +140,28 @@
         self.first_event.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
+    /// Counts a request that has ended at a target.
+    pub(crate) fn count_version_answer(&self, subject: &AnswerSubject, failed: bool) {
+        let labels = VersionLabels {
+            service: subject.service.to_string(),
+            version: subject.version.to_string(),
+        };
+        self.version_answers.get_or_create(&labels).inc();
+        if failed {
+            self.version_failures.get_or_create(&labels).inc();
+        }
+    }
+
+    /// Replaces the shares of all roll-outs.
+    pub(crate) fn set_rollout_shares(&self, shares: &HashMap<(ServiceName, VersionName), f64>) {
+        self.rollout_share.clear();
+        for ((service, version), share) in shares {
+            let labels =
+                VersionLabels { service: service.to_string(), version: version.to_string() };
+            self.rollout_share.get_or_create(&labels).set(*share);
+        }
+    }
+
     pub(crate) fn set_gauges(&self, gauges: &GaugeValues) {
         self.running.set(gauges.running as i64);
         self.targets.set(gauges.targets as i64);
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod report_routes;
 mod request;
 mod response_body;
+mod rollout_host;
 mod runtime;
 mod stream_forwarder;
 #[cfg(test)]
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -32,6 +32,7 @@
     };
     report.targets != previous.targets
         || report.waiting != previous.waiting
+        || report.rollouts != previous.rollouts
         || report.quotas.iter().any(|spent| !is_known(spent))
         || report
             .prompts
@@ -88,7 +89,7 @@
         self.apply_reports(&new_reports);
     }
 
-    fn report_interval(&self) -> Duration {
+    pub(crate) fn report_interval(&self) -> Duration {
         report_interval(self.peering.member_count())
     }
 
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -31,6 +31,8 @@
 use crate::placement::dispatcher::RequestDispatcher;
 use crate::placement::slots::ServingTarget;
 use crate::platform::rows::RowStore;
+use crate::rollouts::RolloutLeader;
+use crate::rollouts::service::RolloutService;
 
 /// How often reports of other VMs and targets that did not register again are checked for expiry.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -46,7 +48,9 @@
     pub(crate) jobs: JobService,
     pub(crate) leases: LeaseRegistry,
     pub(crate) prompts: PromptGuard,
-    decoder: Rc<dyn RowDecoder>,
+    /// `None` where roll-outs are not enabled.
+    pub(crate) rollouts: Option<Rc<RolloutService>>,
+    pub(crate) decoder: Rc<dyn RowDecoder>,
     connections: ConnectionPool,
     catalog: RefCell<Option<Rc<RouteCatalog>>>,
     quotas: RefCell<QuotaLedger>,
@@ -88,6 +92,10 @@
                 Rc::new(connections.clone()),
             )),
             jobs: JobService::open(&settings.vm),
+            rollouts: settings.rollouts.map(|bounds| {
+                let local = RolloutLeader { vm: settings.vm.clone(), incarnation };
+                Rc::new(RolloutService::open(bounds, local))
+            }),
             settings,
             incarnation,
             transport,
@@ -112,6 +120,7 @@
         core.spawn_peering();
         core.spawn_jobs();
         core.spawn_prompt_guard();
+        core.spawn_rollouts();
         tokio::task::spawn_local(advance_waiting(Rc::clone(&core)));
         tokio::task::spawn_local(balance(Rc::clone(&core)));
         tokio::task::spawn_local(expire(Rc::clone(&core)));
@@ -150,6 +159,7 @@
             quarantines: self.quarantine_count(),
             dropped_messages: self.peering.dropped_messages(),
         });
+        self.metrics.set_rollout_shares(&self.rollout_shares());
         self.metrics.encode()
     }
 
@@ -207,7 +217,9 @@
         if !response.is_leaving || response.meaning == ResponseMeaning::Misdirected {
             return;
         }
-        if self.dispatcher.borrow_mut().record_leaving(monotonic(), target) {
+        let is_new = self.dispatcher.borrow_mut().record_leaving(monotonic(), target);
+        if is_new {
+            self.refresh_cohorts();
             log::info!(
                 target_id = target.id.as_str(), started_at_ms = target.started_at_ms;
                 "target announced that it is about to stop; it gets no more requests"
@@ -245,6 +257,7 @@
         let operators =
             self.follow(self.decoder.operator_table(), root.clone(), FeedPacing::Prompt);
         tokio::task::spawn_local(operators.run(|core, update, _| {
+            core.apply_orders(&update);
             let latest = core.out_of_service.borrow_mut().apply(&*core.decoder, update);
             core.dispatcher
                 .borrow_mut()
@@ -252,6 +265,7 @@
             if let Some(config) = latest {
                 core.apply_config(config);
             }
+            core.refresh_rollouts();
         }));
         let targets = self.follow(self.decoder.target_table(), root, FeedPacing::Prompt);
         tokio::task::spawn_local(targets.run(|core, update, restored_at| {
@@ -263,7 +277,11 @@
 
     fn refresh_targets(self: &Rc<Self>) {
         let targets = self.listing.borrow().targets();
+        if let Some(rollouts) = &self.rollouts {
+            rollouts.record_first_versions(&targets);
+        }
         self.dispatcher.borrow_mut().set_targets(monotonic(), targets);
+        self.refresh_cohorts();
         self.advance();
     }
 
@@ -336,6 +354,7 @@
             quotas.observe(now, vm, report);
         }
         drop(quotas);
+        self.apply_rollout_news(&new_reports);
         for (vm, report) in &new_reports {
             if let Some(prompts) = &report.prompts {
                 self.apply_prompt_report(vm, report.incarnation, prompts);
@@ -354,6 +373,7 @@
             quotas: self.quotas.borrow().spent(monotonic()),
             waiting,
             prompts: self.prompt_report(monotonic()),
+            rollouts: self.rollout_news(),
         }
     }
 }
@@ -372,5 +392,7 @@
         if core.listing.borrow_mut().expire(now) {
             core.refresh_targets();
         }
+        // Targets may have been taken out of service, and a VM without news falls back to the canary share.
+        core.refresh_cohorts();
     }
 }
--- a/crates/ebonydock/src/gateway/stream_forwarder.rs
+++ b/crates/ebonydock/src/gateway/stream_forwarder.rs
@@ -39,6 +39,7 @@
             }
         };
         self.record_prompt_answer(admitted);
+        attempt.lease.record_beginning();
         self.metrics.count_first_event(admitted, monotonic());
         let (chunks, receiver) = open_body();
         let response = ForwardResponse {
@@ -55,6 +56,7 @@
             splitter: EventSplitter::default(),
             chunks,
             run_has_events: true,
+            new_events: 0,
         };
         tokio::task::spawn_local(forwarder.run(attempt, first));
         Ok(Some(response))
@@ -89,6 +91,8 @@
     chunks: BodySender,
     /// Whether the current attempt has sent an event.
     run_has_events: bool,
+    /// Events of the current attempt that its lease does not know of.
+    new_events: u32,
 }
 
 enum StreamStep {
@@ -104,7 +108,9 @@
         loop {
             match next {
                 StreamStep::Chunk(Some(Ok(bytes))) => {
-                    if let Err(step) = self.forward_events(&bytes).await {
+                    let forwarded = self.forward_events(&bytes).await;
+                    attempt.lease.record_events(std::mem::take(&mut self.new_events));
+                    if let Err(step) = forwarded {
                         next = step;
                         continue;
                     }
@@ -182,6 +188,7 @@
                 self.run_has_events = true;
                 self.core.record_prompt_answer(&self.admitted);
             }
+            self.new_events += 1;
             let queued = self.chunks.send(event.raw, self.admitted.time_left()).await;
             queued.map_err(|error| match error {
                 QueueError::CallerLeft => StreamStep::CallerLeft,
--- a/crates/ebonydock/src/placement/cohorts.rs
+++ b/crates/ebonydock/src/placement/cohorts.rs
@@ -1,6 +1,6 @@
 //! Cohorts of targets while versions are rolled out.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use crate::ids::{ServiceName, TargetId, VersionName};
 use crate::placement::dispatcher::RequestDispatcher;
@@ -53,12 +53,22 @@
         !self.draining.is_empty()
     }
 
-    /// Returns the versions of a service's targets that are in service.
-    pub(crate) fn versions_in_service(&self, service: &ServiceName) -> BTreeSet<VersionName> {
-        let in_service = self.targets.values().filter(|slots| {
-            slots.target.service == *service && slots.is_in_service(&self.out_of_service)
-        });
-        in_service.map(|slots| slots.target.version.clone()).collect()
+    /// Returns the versions of the targets in service, by service. A service without any has an empty set.
+    pub(crate) fn versions_in_service(&self) -> BTreeMap<ServiceName, BTreeSet<VersionName>> {
+        let mut versions: BTreeMap<ServiceName, BTreeSet<VersionName>> = BTreeMap::new();
+        for slots in self.targets.values() {
+            if !versions.contains_key(&slots.target.service) {
+                versions.insert(slots.target.service.clone(), BTreeSet::new());
+            }
+            let is_in_service = slots.is_in_service(&self.out_of_service);
+            if let Some(versions) = versions.get_mut(&slots.target.service)
+                && is_in_service
+                && !versions.contains(&slots.target.version)
+            {
+                versions.insert(slots.target.version.clone());
+            }
+        }
+        versions
     }
 
     /// Returns the ids of a service's targets of one version that are in service.
--- a/crates/ebonydock/src/rollouts/mod.rs
+++ b/crates/ebonydock/src/rollouts/mod.rs
@@ -6,13 +6,19 @@
 //! steps with a [`RolloutController`] and keeps its progress in a [`RolloutRecord`] in the store.
 
 mod announcement;
+pub(crate) mod answer_track;
 mod controller;
 mod evidence;
 mod exposure;
 mod fleet_evidence;
+pub(crate) mod host;
 mod judge;
+pub(crate) mod leadership;
+pub(crate) mod news;
 mod order;
+mod order_listing;
 mod record;
+pub(crate) mod service;
 mod shares;
 #[cfg(test)]
 mod tests;
@@ -26,6 +32,7 @@
     VersionEvidence,
 };
 pub use fleet_evidence::FleetEvidence;
+pub use news::{EvidencePart, RolloutNews};
 pub use order::{OrderFault, RolloutOrder, RolloutSettings};
 pub use record::{
     ClaimWait, EvidenceSummary, RolloutLeader, RolloutPhase, RolloutReason, RolloutRecord,
