--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -71,10 +71,11 @@
 };
 pub use rollouts::{
     AnswerSample, AnswerStage, AnswerTally, ClaimWait, CohortEvidence, CohortLoad, EvidenceSummary,
-    FleetEvidence, GroupTally, OrderFault, RolloutAnnouncement, RolloutController, RolloutLeader,
-    RolloutLoad, RolloutOrder, RolloutPhase, RolloutReason, RolloutRecord, RolloutReport,
-    RolloutSettings, RolloutStep, RolloutView, RouteShare, RouteTally, ShareTable, SlowLimits,
-    TargetCohort, VersionCohorts, VersionEvidence, claim_delay, rank_canary_targets, route_hash,
+    FleetEvidence, GroupTally, LEASE_RENEWAL_INTERVAL, OrderFault, RolloutAnnouncement,
+    RolloutController, RolloutLeader, RolloutLoad, RolloutOrder, RolloutPhase, RolloutReason,
+    RolloutRecord, RolloutReport, RolloutSettings, RolloutStep, RolloutView, RouteShare,
+    RouteTally, ShareTable, SlowLimits, TargetCohort, VersionCohorts, VersionEvidence, claim_delay,
+    rank_canary_targets, route_hash,
 };
 pub use routing::{DataCentreLoad, RetryBudget, rank_data_centres};
 pub use scheduling::{
--- a/crates/ebonydock/src/rollouts/evidence.rs
+++ b/crates/ebonydock/src/rollouts/evidence.rs
@@ -9,9 +9,10 @@
 use crate::rollouts::shares::{MAX_LISTED_ROUTES, OTHER_ROUTES, ShareTable, SlowLimits};
 use crate::rollouts::versions::TargetCohort;
 
-/// Groups of targets by their hash. Two of three canary targets share a group in a quarter of the roll-outs, all
-/// three in 1 of 144; leaving out a group leaves out a single bad target in any case.
-pub(crate) const TARGET_GROUPS: u8 = 12;
+/// Groups of new targets by their hash. Leaving out a group leaves out a single bad target in any case; two of three
+/// canary targets share a group in 1 of 8 roll-outs. With 12 groups these were 1 of 4, and the evidence that was left
+/// then was too weak for rare routes.
+pub(crate) const TARGET_GROUPS: u8 = 24;
 /// Buckets of a histogram of times.
 pub(crate) const TIME_BUCKETS: u8 = 32;
 
@@ -97,7 +98,7 @@
 pub struct CohortEvidence {
     /// Counts by route.
     pub routes: Vec<RouteTally>,
-    /// Counts by group of targets.
+    /// Counts by group of targets; old targets are all in group 0.
     pub groups: Vec<GroupTally>,
 }
 
@@ -237,7 +238,9 @@
         }
         let route = if self.routes.contains(&sample.route) { sample.route } else { OTHER_ROUTES };
         let limits = shares.slow_limits(sample.route);
-        let group = (sample.target % u32::from(TARGET_GROUPS)) as u8;
+        // A single old target hardly changes the comparison, so that their groups need not be told apart.
+        let is_next = sample.cohort == TargetCohort::Next;
+        let group = if is_next { (sample.target % u32::from(TARGET_GROUPS)) as u8 } else { 0 };
         cohort.group(group).tally.record(sample.stage, limits);
         let route = cohort.route(route);
         route.tally.record(sample.stage, limits);
--- a/crates/ebonydock/src/rollouts/mod.rs
+++ b/crates/ebonydock/src/rollouts/mod.rs
@@ -28,8 +28,8 @@
 pub use fleet_evidence::FleetEvidence;
 pub use order::{OrderFault, RolloutOrder, RolloutSettings};
 pub use record::{
-    ClaimWait, EvidenceSummary, RolloutLeader, RolloutPhase, RolloutReason, RolloutRecord,
-    claim_delay,
+    ClaimWait, EvidenceSummary, LEASE_RENEWAL_INTERVAL, RolloutLeader, RolloutPhase, RolloutReason,
+    RolloutRecord, claim_delay,
 };
 pub use shares::{RouteShare, ShareTable, SlowLimits, rank_canary_targets, route_hash};
 pub use versions::{TargetCohort, VersionCohorts};
--- a/crates/ebonydock/src/rollouts/record.rs
+++ b/crates/ebonydock/src/rollouts/record.rs
@@ -11,7 +11,7 @@
 use crate::rollouts::shares::ShareTable;
 
 /// Interval at which the leader renews its lease.
-pub(crate) const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+pub const LEASE_RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 /// A lease ends this long after its last renewal; one renewal may be lost.
 pub(crate) const LEASE_DURATION: Duration = Duration::from_secs(3);
 /// Difference between the claims of two contenders; a claim is stored and seen by the others in this time.
@@ -153,6 +153,8 @@
     pub to: VersionName,
     /// When the order was accepted.
     pub started_at: Duration,
+    /// When the canary phase began; before that, when the order was accepted.
+    pub ready_at: Duration,
     /// When the order ends.
     pub deadline: Duration,
     /// Phase.
@@ -197,6 +199,7 @@
             from,
             to: order.to.clone(),
             started_at: store_now,
+            ready_at: store_now,
             deadline: store_now + order.duration,
             phase: RolloutPhase::Waiting,
             shares: ShareTable::default(),
@@ -279,7 +282,7 @@
             rejected.drain(..rejected.len().saturating_sub(MAX_REJECTED));
         }
         let step = self.step + 1;
-        Some(Self { phase, shares, reason, evidence, step, rejected, ..self.clone() })
+        Some(Self { phase, shares, step, reason, evidence, rejected, ..self.clone() })
     }
 
     /// Returns the record of a roll-out that ends because its order was replaced or deleted.
--- a/crates/ebonydock/src/rollouts/shares.rs
+++ b/crates/ebonydock/src/rollouts/shares.rs
@@ -29,6 +29,12 @@
     }
 }
 
+impl SlowLimits {
+    fn is_known(self) -> bool {
+        self.first != u8::MAX
+    }
+}
+
 /// Share of a route's requests that the new version gets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteShare {
@@ -85,6 +91,41 @@
         is_lower(OTHER_ROUTES) && routes.all(|entry| is_lower(entry.route))
     }
 
+    /// Returns the table with at least `share` for each route.
+    pub(crate) fn raised(&self, share: f64) -> Self {
+        let units = share_units(share);
+        let mut raised = self.clone();
+        raised.overall = units;
+        raised.routes.iter_mut().for_each(|entry| entry.share = entry.share.max(units));
+        raised
+    }
+
+    /// Sets the limits for slow answers of the listed routes that had none. Known ones are kept, because answers are
+    /// compared with those that were counted by the same limit.
+    pub(crate) fn update_limits(&mut self, requests: &[(u32, f64, SlowLimits)]) {
+        for entry in self.routes.iter_mut().filter(|entry| !entry.slow.is_known()) {
+            let known = requests.iter().find(|(route, ..)| *route == entry.route);
+            if let Some((.., limits)) = known {
+                entry.slow = *limits;
+            }
+        }
+    }
+
+    /// Returns the table with the limits for slow answers that are known in `previous`.
+    pub(crate) fn with_limits_of(mut self, previous: &Self) -> Self {
+        for entry in &mut self.routes {
+            let known = previous.slow_limits(entry.route);
+            entry.slow = if known.is_known() { known } else { entry.slow };
+        }
+        self
+    }
+
+    /// Returns whether limits for slow answers are known that are unknown in `other`.
+    pub(crate) fn knows_more_limits(&self, other: &Self) -> bool {
+        let is_new = |entry: &RouteShare| !other.slow_limits(entry.route).is_known();
+        self.routes.iter().any(|entry| entry.slow.is_known() && is_new(entry))
+    }
+
     /// Divides `share` of all requests among routes so that each gets about the same number of requests at the new
     /// version, and at most half of its requests. `requests` are the recent requests by route, with their limits.
     pub(crate) fn divide(share: f64, requests: &[(u32, f64, SlowLimits)]) -> Self {
