--- a/crates/ebonydock/src/rollouts/mod.rs
+++ b/crates/ebonydock/src/rollouts/mod.rs
@@ -35,8 +35,8 @@
 pub use news::{EvidencePart, RolloutNews};
 pub use order::{OrderFault, RolloutOrder, RolloutSettings};
 pub use record::{
-    ClaimWait, EvidenceSummary, RolloutLeader, RolloutPhase, RolloutReason, RolloutRecord,
-    claim_delay,
+    ClaimWait, EvidenceSummary, LEASE_RENEWAL_INTERVAL, RolloutLeader, RolloutPhase, RolloutReason,
+    RolloutRecord, claim_delay,
 };
 pub use shares::{RouteShare, ShareTable, SlowLimits, rank_canary_targets, route_hash};
 pub use versions::{TargetCohort, VersionCohorts};
