Roll-outs: tests of the gateway on fakes, and of processes whose leader is killed

The leader's record is confirmed with the present time, a VM that stops or was replaced by a later incarnation takes no lead, and the news behind a load report are tested to leave other reports as they were.

--- a/crates/ebonydock/src/gateway/rollout_host.rs
+++ b/crates/ebonydock/src/gateway/rollout_host.rs
@@ -40,6 +40,10 @@
         RolloutLeader { vm: self.core.settings.vm.clone(), incarnation: self.core.incarnation }
     }
 
+    fn may_lead(&self) -> bool {
+        !self.core.is_stopping() && !self.core.peering.is_superseded()
+    }
+
     fn live_vms(&self) -> Vec<VmId> {
         let mut vms = self.core.dispatcher.borrow().live_vms();
         vms.push(self.core.settings.vm.clone());
--- a/crates/ebonydock/src/gateway/tests/mod.rs
+++ b/crates/ebonydock/src/gateway/tests/mod.rs
@@ -11,5 +11,6 @@
 mod quarantine;
 mod quota;
 mod reports;
+mod rollouts;
 mod stop;
 mod streams;
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -70,12 +70,12 @@
     VmEntry,
 };
 pub use rollouts::{
-    AnswerSample, AnswerStage, AnswerTally, ClaimWait, CohortEvidence, CohortLoad, EvidencePart, EvidenceSummary,
-    FleetEvidence, GroupTally, LEASE_RENEWAL_INTERVAL, OrderFault, RolloutAnnouncement,
-    RolloutController, RolloutLeader, RolloutLoad, RolloutNews, RolloutOrder, RolloutPhase, RolloutReason,
-    RolloutRecord, RolloutReport, RolloutSettings, RolloutStep, RolloutView, RouteShare,
-    RouteTally, ShareTable, SlowLimits, TargetCohort, VersionCohorts, VersionEvidence, claim_delay,
-    rank_canary_targets, route_hash,
+    AnswerSample, AnswerStage, AnswerTally, ClaimWait, CohortEvidence, CohortLoad, EvidencePart,
+    EvidenceSummary, FleetEvidence, GroupTally, LEASE_RENEWAL_INTERVAL, OrderFault,
+    RolloutAnnouncement, RolloutController, RolloutLeader, RolloutLoad, RolloutNews, RolloutOrder,
+    RolloutPhase, RolloutReason, RolloutRecord, RolloutReport, RolloutSettings, RolloutStep,
+    RolloutView, RouteShare, RouteTally, ShareTable, SlowLimits, TargetCohort, VersionCohorts,
+    VersionEvidence, claim_delay, rank_canary_targets, route_hash,
 };
 pub use routing::{DataCentreLoad, RetryBudget, rank_data_centres};
 pub use scheduling::{
--- a/crates/ebonydock/src/rollouts/host.rs
+++ b/crates/ebonydock/src/rollouts/host.rs
@@ -14,6 +14,9 @@
     fn service(&self) -> &RolloutService;
     /// Returns this VM as a leader.
     fn leader(&self) -> RolloutLeader;
+    /// Returns whether this VM may take the lead of a roll-out: it does not stop, and no later incarnation of it is
+    /// known.
+    fn may_lead(&self) -> bool;
     /// Returns the live VMs, with this one.
     fn live_vms(&self) -> Vec<VmId>;
     /// Returns the store.
--- a/crates/ebonydock/src/rollouts/leadership.rs
+++ b/crates/ebonydock/src/rollouts/leadership.rs
@@ -191,11 +191,12 @@
             (write, has_lead, rollout.is_some_and(ServiceRollout::is_running))
         };
         let may_write = !write.is_running && now >= write.retry_at;
-        let next = if let Some((order, seen_at)) = pending {
+        let may_lead = self.host.may_lead();
+        let next = if let Some((order, seen_at)) = pending.filter(|_| may_lead) {
             self.open_record(now, &order, seen_at, has_lead).map(|r| (WriteReason::Open, r))
         } else if has_lead {
             self.lead(now).map(|record| (WriteReason::Lead, record))
-        } else if is_running {
+        } else if is_running && may_lead {
             self.claim(now).map(|record| (WriteReason::Claim, record))
         } else {
             None
@@ -236,6 +237,7 @@
         // The time for the roll-out began when the order was written.
         let age = now.saturating_sub(seen_at).min(order.duration);
         record.started_at = record.started_at.saturating_sub(age);
+        record.ready_at = record.started_at;
         record.deadline = record.deadline.saturating_sub(age);
         let has_targets = |version| self.host.version_load(&self.service, version).targets > 0;
         let is_served = record.from == record.to;
@@ -289,7 +291,6 @@
     }
 
     fn decide(&self, now: Duration) -> Option<RolloutRecord> {
-        let store_now = self.host.store_time();
         let rollout_load = self.rollout_load();
         let mut services = self.host.service().services.borrow_mut();
         let rollout = services.get_mut(&self.service)?;
@@ -303,7 +304,7 @@
         match lead.controller.decide(now, fleet, &rollout_load) {
             RolloutStep::Keep => {
                 let is_due = now >= lead.renewed_at + LEASE_RENEWAL_INTERVAL;
-                is_due.then(|| lead.controller.renewal(store_now, fleet))
+                is_due.then(|| lead.controller.renewal(now, fleet))
             }
             RolloutStep::Advance(record) => Some(record),
             RolloutStep::Stop(record) => {
@@ -452,7 +453,9 @@
                     stop: None,
                     logged_step: record.step,
                 });
-                lead.controller.confirm(record);
+                if !lead.controller.confirm(now, record) {
+                    rollout.lead = None;
+                }
             }
         }
         self.host.refresh_cohorts();
