--- a/crates/ebonydock/src/rollouts/leadership.rs
+++ b/crates/ebonydock/src/rollouts/leadership.rs
@@ -291,6 +291,7 @@
     }
 
     fn decide(&self, now: Duration) -> Option<RolloutRecord> {
+        let store_now = self.host.store_time();
         let rollout_load = self.rollout_load();
         let mut services = self.host.service().services.borrow_mut();
         let rollout = services.get_mut(&self.service)?;
@@ -304,7 +305,7 @@
         match lead.controller.decide(now, fleet, &rollout_load) {
             RolloutStep::Keep => {
                 let is_due = now >= lead.renewed_at + LEASE_RENEWAL_INTERVAL;
-                is_due.then(|| lead.controller.renewal(now, fleet))
+                is_due.then(|| lead.controller.renewal(store_now, fleet))
             }
             RolloutStep::Advance(record) => Some(record),
             RolloutStep::Stop(record) => {
@@ -453,9 +454,7 @@
                     stop: None,
                     logged_step: record.step,
                 });
-                if !lead.controller.confirm(now, record) {
-                    rollout.lead = None;
-                }
+                lead.controller.confirm(record);
             }
         }
         self.host.refresh_cohorts();
--- a/crates/ebonydock/src/rollouts/service.rs
+++ b/crates/ebonydock/src/rollouts/service.rs
@@ -25,6 +25,10 @@
 /// away.
 const END_REPEAT_TIME: Duration = Duration::from_secs(5);
 
+/// Announcements in one report, in turn. Each has up to 110 bytes, and a report has to fit into a datagram of 1,000
+/// bytes with the load of the VM and a part of its evidence.
+const MAX_ANNOUNCEMENTS: usize = 2;
+
 /// Roll-out of one service as known to this VM.
 #[derive(Debug, Default)]
 pub(crate) struct ServiceRollout {
@@ -158,6 +162,8 @@
     local: RolloutLeader,
     /// Number of times that the evidence of this VM was added to that of all VMs.
     own_sequence: Cell<u64>,
+    /// Place of the next announcement among those of this VM, if they do not all fit into a report.
+    announced: Cell<usize>,
     pub(crate) orders: RefCell<OrderListing>,
     pub(crate) services: RefCell<BTreeMap<ServiceName, ServiceRollout>>,
     /// Versions of the targets that were listed first.
@@ -178,6 +184,7 @@
             settings,
             local,
             own_sequence: Cell::new(0),
+            announced: Cell::new(0),
             orders: RefCell::default(),
             services: RefCell::default(),
             first_versions: RefCell::default(),
@@ -409,6 +416,12 @@
             announcements.extend(announcement.or_else(|| ended.map(|(last, _)| last.clone())));
             is_running |= rollout.is_running();
         }
+        if announcements.len() > MAX_ANNOUNCEMENTS {
+            let first = self.announced.get() % announcements.len();
+            self.announced.set(first + MAX_ANNOUNCEMENTS);
+            announcements.rotate_left(first);
+            announcements.truncate(MAX_ANNOUNCEMENTS);
+        }
         if !is_running {
             self.receiver.borrow_mut().clear();
             let news = RolloutNews { announcements, part: None };
