--- a/crates/ebonydock/src/rollouts/controller.rs
+++ b/crates/ebonydock/src/rollouts/controller.rs
@@ -23,6 +23,9 @@
 const MAX_DOUBT: f64 = 0.35;
 /// Evidence for the version that is enough if it is not complete in time.
 const WEAK_SUPPORT: f64 = 1.5;
+/// The same at the end of the draining. There is no comparison under the same load then: with the lower figure, 1 of
+/// 200 good versions was rolled back in a burst.
+const MAX_LAST_DOUBT: f64 = 0.75;
 /// Evidence on a route that the version is worse there, as a logarithm of odds, from which no planned step is taken,
 /// and from which none is taken at all.
 const MAX_ROUTE_DOUBT: (f64, f64) = (1.0, 3.0);
@@ -428,7 +431,7 @@
         let known = &self.record.shares;
         let change = (shares.share() - known.share()).abs() / known.share().max(0.001);
         let is_changed = change > DIVISION_CHANGE || shares.canary_targets != known.canary_targets;
-        let knows_more = shares.knows_more_limits(known);
+        let knows_more = shares.knows_more(known);
         let interval = self.duration().mul_f64(DIVISION_FRACTION);
         let interval = interval.clamp(DIVISION_INTERVAL.0, DIVISION_INTERVAL.1);
         if knows_more || (is_changed && at_share >= interval) {
@@ -442,10 +445,12 @@
         let is_drained = context.load.current.running == 0;
         let is_settled = context.now.saturating_sub(self.step_at) >= MIN_DRAINING;
         let is_last_moment = context.store_now >= context.plan.latest_end;
-        if is_last_moment && context.is_doubtful() {
+        if is_last_moment && context.verdict.against >= MAX_LAST_DOUBT {
             return self.stop(RolloutReason::Undecided, context.summary);
         }
-        if !context.is_doubtful() && ((is_drained && is_settled) || is_last_moment) {
+        // Slow answers in a burst may be that of the load, so that they only delay the end.
+        let is_clear = context.verdict.support >= 0.0 && !context.is_doubtful();
+        if (is_drained && is_settled && is_clear) || is_last_moment {
             let shares = self.record.shares.clone();
             return self.advance(context, RolloutPhase::Completed, shares, RolloutReason::Drained);
         }
--- a/crates/ebonydock/src/rollouts/shares.rs
+++ b/crates/ebonydock/src/rollouts/shares.rs
@@ -120,10 +120,14 @@
         self
     }
 
-    /// Returns whether limits for slow answers are known that are unknown in `other`.
-    pub(crate) fn knows_more_limits(&self, other: &Self) -> bool {
-        let is_new = |entry: &RouteShare| !other.slow_limits(entry.route).is_known();
-        self.routes.iter().any(|entry| entry.slow.is_known() && is_new(entry))
+    /// Returns whether a route is listed that is not in `other`, or a limit for slow answers is known that is unknown
+    /// there. A rare route may first be seen after the others.
+    pub(crate) fn knows_more(&self, other: &Self) -> bool {
+        let is_listed = |route| other.routes.iter().any(|entry| entry.route == route);
+        let has_new_limit = |entry: &RouteShare| {
+            entry.slow.is_known() && !other.slow_limits(entry.route).is_known()
+        };
+        self.routes.iter().any(|entry| !is_listed(entry.route) || has_new_limit(entry))
     }
 
     /// Divides `share` of all requests among routes so that each gets about the same number of requests at the new
