Merge roll-outs of versions

Services that are ordered to move to another version move by steps, on evidence from all VMs, and go back if the version is bad.

--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod report_routes;
 mod request;
 mod response_body;
+mod rollout_host;
 mod runtime;
 mod stream_forwarder;
 #[cfg(test)]
@@ -53,7 +54,7 @@
     BodyBudget, BudgetShare, ConnectionPool, PooledBody, PooledResponse, SendError,
 };
 pub use events::{EventSplitter, OversizedEvent, StreamEvent};
-pub use followers::{OperatorRecord, RowDecoder};
+pub use followers::{OperatorRecord, RolloutState, RolloutStatus, RowDecoder};
 pub use forward::{ForwardResponse, GatewayRefusal, RefusalReason, ResponseBody};
 pub use handle::{Gateway, GatewaySettings};
 pub use job_api::{JobApiResult, JobRefusal, JobResultPage};
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -18,6 +18,7 @@
 mod peers;
 mod placement;
 mod platform;
+mod rollouts;
 mod routing;
 mod scheduling;
 mod service_calls;
@@ -38,13 +39,13 @@
     LoadUpdate, OperatorRecord, OversizedEvent, PartAnswer, PartSet, PooledBody, PooledResponse,
     PromptFailure, PromptPart, PromptReport, QuarantineList, QuotaLedger, QuotaState,
     RefusalReason, ReportFrame, ReportInterest, ReportedQuarantine, RequestId, ResponseBody,
-    ResponseMeaning, RouteBackend, RouteCatalog, RouteClass, RouteMiss, RowDecoder, SendError,
-    ServiceProfile, SpentQuota, StreamEvent, TargetAttempt, TargetBodyStream, TargetResponse,
-    TargetTransport, TokenDemand, open_decision_log,
+    ResponseMeaning, RolloutState, RolloutStatus, RouteBackend, RouteCatalog, RouteClass,
+    RouteMiss, RowDecoder, SendError, ServiceProfile, SpentQuota, StreamEvent, TargetAttempt,
+    TargetBodyStream, TargetResponse, TargetTransport, TokenDemand, open_decision_log,
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
-    RowKey, ServiceName, TargetId, VmId, WorkspaceId,
+    RowKey, ServiceName, TargetId, VersionName, VmId, WorkspaceId,
 };
 pub use jobs::ChunkTracker;
 pub use limits::{
@@ -68,6 +69,14 @@
     RowCondition, RowWrite, TableRow, TableStore, TableTransaction, TargetEntry, TargetRole,
     VmEntry,
 };
+pub use rollouts::{
+    AnswerSample, AnswerStage, AnswerTally, ClaimWait, CohortEvidence, CohortLoad, EvidencePart,
+    EvidenceSummary, FleetEvidence, GroupTally, LEASE_RENEWAL_INTERVAL, OrderFault,
+    RolloutAnnouncement, RolloutController, RolloutLeader, RolloutLoad, RolloutNews, RolloutOrder,
+    RolloutPhase, RolloutReason, RolloutRecord, RolloutReport, RolloutSettings, RolloutStep,
+    RolloutView, RouteShare, RouteTally, ShareTable, SlowLimits, TargetCohort, VersionCohorts,
+    VersionEvidence, claim_delay, rank_canary_targets, route_hash,
+};
 pub use routing::{DataCentreLoad, RetryBudget, rank_data_centres};
 pub use scheduling::{
     AffinityPolicy, CacheReport, Decision, FairQueue, PoolPolicy, PoolScheduler, PreemptionPolicy,
