Memory: one budget of a VM for what callers and targets make it hold

Callers and targets could make a process hold any amount: up to 64 MiB of a refused body were read while what came before it was kept, bodies had no limit together, every attempt copied the body, responses queued up for callers that do not read, and connections and the kernel's receive buffers had no limit. All 8 tests of `platform/tests/crowds` failed.

`memory/` decides without I/O who gets the next allocation of a budget derived from `limits.memory_mb`: a part is reserved for small requests, and bodies that stall or are slower than a minimum rate lose theirs when another needs it, the slowest first. It also decides which connection is closed at the limit derived from `limits.max_fds`. `MemorySettings` is the field `memory` of `GatewaySettings`; without the two settings nothing is limited.

Request bodies, buffered and unread responses, submissions and pages of results take their memory there. A body over the limit is refused by its announced length before a byte is read; at most 1 MiB of a refused one is read on, for 2 s. Without memory a request gets 503 with Retry-After and its connection is closed. A body of which nothing arrives for 15 s gets 408. `ebonydockd` reads bodies through the same ledger.

Passed: memory, gateway::tests::streams, settings and entry of the library (63), the unit tests of the platform, and of the platform's site tests calls, endless, framing and planned_stop (24).

--- a/crates/ebonydock/src/entry/body.rs
+++ b/crates/ebonydock/src/entry/body.rs
@@ -1,36 +1,82 @@
 //! Reads request bodies and writes JSON responses.
 
+use std::time::Duration;
+
 use ntex::http::StatusCode;
-use ntex::util::BytesMut;
-use ntex::web::HttpResponse;
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::util::Bytes;
 use ntex::web::types::Payload;
+use ntex::web::{HttpRequest, HttpResponse};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::entry::{Refusal, RefusalCode};
+use crate::memory::{MemoryLease, MemoryShortage};
+use crate::vm::VmContext;
 
-/// A refused body is read and dropped up to this size.
-const MAX_DISCARDED_BYTES: usize = 64 * 1024 * 1024;
+/// A refused body is read and dropped up to this size, so that its caller sees the refusal. More would let callers
+/// occupy the VM with bodies that it has refused.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// Limit for the time in which a refused body is read.
+const MAX_DISCARDING_TIME: Duration = Duration::from_secs(2);
+/// A body of which nothing arrives for this long is refused. Callers are cut off after 15 s without a byte elsewhere.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Reads a body of at most `limit` bytes.
+/// Reads a body of at most `limit` bytes within the memory budget. Returns it with the lease of its memory.
 ///
 /// # Errors
 ///
-/// Refuses a body that is incomplete or larger than `limit`.
-pub(crate) async fn read_body(mut payload: Payload, limit: usize) -> Result<BytesMut, Refusal> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
+/// Refuses a body that is incomplete, larger than `limit`, stops arriving, or for which there is no memory.
+pub(crate) async fn read_body(
+    context: &VmContext,
+    request: &HttpRequest,
+    mut payload: Payload,
+    limit: usize,
+) -> Result<(Bytes, MemoryLease), Refusal> {
+    let header = request.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let announced: Option<usize> = header.and_then(|value| value.trim().parse().ok());
+    let body = receive(context, &mut payload, announced, limit).await;
+    if let Err(refusal) = &body {
+        let is_sending =
+            !matches!(refusal.code, RefusalCode::BadRequest | RefusalCode::BodyStalled);
+        if is_sending && announced.is_none_or(|length| length <= limit + MAX_DISCARDED_BYTES) {
+            discard(&mut payload).await;
+        }
+    }
+    body
+}
+
+async fn receive(
+    context: &VmContext,
+    payload: &mut Payload,
+    announced: Option<usize>,
+    limit: usize,
+) -> Result<(Bytes, MemoryLease), Refusal> {
+    let too_large = || {
+        let message = format!("the body is larger than {limit} bytes");
+        Refusal::new(RefusalCode::TooLarge, message)
+    };
+    if announced.is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    let mut buffer = context.memory.open_body(announced)?;
+    loop {
+        let chunk = tokio::select! {
+            biased;
+            () = buffer.reclaimed() => return Err(MemoryShortage.into()),
+            chunk = tokio::time::timeout(BODY_IDLE_TIMEOUT, payload.recv()) => chunk,
+        };
+        let chunk = chunk
+            .map_err(|_| Refusal::new(RefusalCode::BodyStalled, "the body stopped arriving"))?;
+        let Some(chunk) = chunk else { return Ok(buffer.finish()) };
         let chunk = chunk.map_err(|error| {
             Refusal::new(RefusalCode::BadRequest, format!("the body is incomplete: {error}"))
         })?;
-        if body.len() + chunk.len() > limit {
-            discard(&mut payload).await;
-            let message = format!("the body is larger than {limit} bytes");
-            return Err(Refusal::new(RefusalCode::TooLarge, message));
+        if buffer.len() + chunk.len() > limit {
+            return Err(too_large());
         }
-        body.extend_from_slice(&chunk);
+        buffer.push(&chunk)?;
     }
-    Ok(body)
 }
 
 /// Passes on the result of the checks before a body is read. Drops the body if the request is refused.
@@ -53,12 +99,14 @@
 /// A caller whose connection is closed while it still sends doesn't see the refusal.
 async fn discard(payload: &mut Payload) {
     let mut remaining = MAX_DISCARDED_BYTES;
-    while let Some(Ok(chunk)) = payload.recv().await {
-        remaining = remaining.saturating_sub(chunk.len());
-        if remaining == 0 {
-            return;
+    let discarded = async {
+        while let Some(Ok(chunk)) = payload.recv().await {
+            let Some(rest) = remaining.checked_sub(chunk.len()) else { return };
+            remaining = rest;
         }
-    }
+    };
+    // The end of the connection refuses a body that is still sent then.
+    let _ = tokio::time::timeout(MAX_DISCARDING_TIME, discarded).await;
 }
 
 /// Parses a JSON body.
--- a/crates/ebonydock/src/entry/completions.rs
+++ b/crates/ebonydock/src/entry/completions.rs
@@ -136,8 +136,9 @@
     let caller = caller.map_err(|refusal| (refusal, None))?;
     let workspace = caller.entry.workspace.clone();
     let with_workspace = |refusal: Refusal| (refusal, Some(workspace.clone()));
-    let body =
-        read_body(payload, context.settings().online.body_limit).await.map_err(with_workspace)?;
+    let limit = context.settings().online.body_limit;
+    let body = read_body(context, request, payload, limit).await.map_err(with_workspace)?;
+    let (body, _memory) = body;
     let body: InferenceBody = parse_json(&body).map_err(with_workspace)?;
     let stream = body.stream;
     let request = inference_request(context, &caller, body).map_err(with_workspace)?;
--- a/crates/ebonydock/src/entry/refusal.rs
+++ b/crates/ebonydock/src/entry/refusal.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::jobs::SubmitError;
+use crate::memory::MemoryShortage;
 use crate::platform::PlatformError;
 use crate::routing::InferenceError;
 use crate::service_calls::CallError;
@@ -44,6 +45,10 @@
     PlatformUnavailable,
     /// The VM has no configuration yet.
     NotReady,
+    /// The VM has no memory for the body now.
+    NoMemory,
+    /// The body stopped arriving.
+    BodyStalled,
 }
 
 impl RefusalCode {
@@ -65,6 +70,8 @@
             Self::OutcomeUnknown => "outcome_unknown",
             Self::PlatformUnavailable => "platform_unavailable",
             Self::NotReady => "not_ready",
+            Self::NoMemory => "no_memory",
+            Self::BodyStalled => "body_stalled",
         }
     }
 
@@ -78,9 +85,12 @@
             Self::Conflict => StatusCode::CONFLICT,
             Self::RateLimited => StatusCode::TOO_MANY_REQUESTS,
             Self::TargetFailed | Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
-            Self::Busy | Self::NoTarget | Self::PlatformUnavailable | Self::NotReady => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::BodyStalled => StatusCode::REQUEST_TIMEOUT,
+            Self::Busy
+            | Self::NoTarget
+            | Self::PlatformUnavailable
+            | Self::NotReady
+            | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -149,6 +159,13 @@
     }
 }
 
+impl From<MemoryShortage> for Refusal {
+    fn from(_: MemoryShortage) -> Self {
+        let refusal = Self::new(RefusalCode::NoMemory, "there is no memory for the body now");
+        refusal.retry_after(Duration::from_secs(1))
+    }
+}
+
 impl From<PlatformError> for Refusal {
     fn from(error: PlatformError) -> Self {
         let refusal = Self::new(RefusalCode::PlatformUnavailable, error.to_string());
--- a/crates/ebonydock/src/entry/services.rs
+++ b/crates/ebonydock/src/entry/services.rs
@@ -45,7 +45,8 @@
     let path = format!("/{rest}");
     let authorised = authorise(context, request, &service, &path);
     let (caller, call) = check_before_body(authorised, &mut payload).await?;
-    let body = read_body(payload, context.settings().online.body_limit).await?;
+    let (body, _memory) =
+        read_body(context, request, payload, context.settings().online.body_limit).await?;
     if let Some(caller) = &caller {
         admit_caller(context, caller).await?;
     }
@@ -69,7 +70,7 @@
             path: target_path,
             content_type: header(CONTENT_TYPE.as_str()).map(str::to_owned),
             request_id: uuid::Uuid::new_v4().simple().to_string(),
-            body: body.freeze(),
+            body,
         },
     };
     let service_response = deliver_call(context, outgoing).await?;
--- a/crates/ebonydock/src/gateway/connections.rs
+++ b/crates/ebonydock/src/gateway/connections.rs
@@ -18,9 +18,10 @@
 use ntex::util::Bytes;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::Instant;
 
+use crate::memory::MemorySettings;
 use crate::placement::IdleConnections;
 
 /// Opening a connection within a data centre takes milliseconds; a slower target is
@@ -145,10 +146,19 @@
 }
 
 /// A pool of connections by address. Clones share the connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<IdleTable>,
     opened: Rc<Cell<u64>>,
+    /// Limit for idle connections to all addresses.
+    max_idle: usize,
+    receive_buffer_bytes: Option<usize>,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::open(&MemorySettings::default())
+    }
 }
 
 /// Limit for the bodies that several calls read at the same time.
@@ -210,6 +220,7 @@
     connection: Option<OpenConnection>,
     address: SocketAddr,
     idle_lifetime: Duration,
+    max_idle: usize,
     idle: Rc<IdleTable>,
 }
 
@@ -225,6 +236,16 @@
 }
 
 impl ConnectionPool {
+    /// Opens an empty pool.
+    pub fn open(settings: &MemorySettings) -> Self {
+        Self {
+            idle: Rc::default(),
+            opened: Rc::default(),
+            max_idle: settings.max_idle_connections,
+            receive_buffer_bytes: settings.receive_buffer_bytes,
+        }
+    }
+
     /// Returns the number of connections opened so far.
     pub fn opened(&self) -> u64 {
         self.opened.get()
@@ -262,7 +283,7 @@
         address: SocketAddr,
         request: http::Request<Full<bytes::Bytes>>,
     ) -> Result<PooledResponse, SendError> {
-        let connection = self.open(address).await.map_err(SendError::NotSent)?;
+        let connection = self.connect(address).await.map_err(SendError::NotSent)?;
         self.exchange(address, connection, request).await.map_err(|(reason, unsent)| {
             if unsent.is_some() { SendError::NotSent(reason) } else { SendError::Lost(reason) }
         })
@@ -281,8 +302,16 @@
         None
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<OpenConnection, String> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, String> {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let socket = socket.map_err(|error| error.to_string())?;
+        // Set before connecting, because it limits the window that is announced then.
+        if let Some(bytes) = self.receive_buffer_bytes
+            && let Err(error) = socket.set_recv_buffer_size(bytes as u32)
+        {
+            log::debug!("connections: Size of the receive buffer could not be set: {error}.");
+        }
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address)).await;
         let stream = stream.map_err(|_| "connection attempt timed out".to_owned())?;
         let stream = stream.map_err(|error| error.to_string())?;
         self.opened.set(self.opened.get() + 1);
@@ -330,7 +359,9 @@
                 let idle_lifetime = idle_lifetime(&head.headers);
                 let idle = Rc::clone(&self.idle);
                 let connection = Some(connection);
-                let body = PooledBody { incoming, connection, address, idle_lifetime, idle };
+                let max_idle = self.max_idle;
+                let body =
+                    PooledBody { incoming, connection, address, idle_lifetime, max_idle, idle };
                 Ok(PooledResponse { head, body, over_reused_connection })
             }
             Err(mut error) => {
@@ -414,6 +445,16 @@
             return;
         }
         let mut idle = self.idle.borrow_mut();
+        let count = |idle: &HashMap<_, Vec<_>>| idle.values().map(Vec::len).sum::<usize>();
+        if count(&idle) >= self.max_idle {
+            let now = Instant::now();
+            for connections in idle.values_mut() {
+                connections.retain(|entry: &IdleConnection| now < entry.usable_until);
+            }
+            if count(&idle) >= self.max_idle {
+                return;
+            }
+        }
         let idle_connections = idle.entry(self.address).or_default();
         if idle_connections.len() < MAX_IDLE_PER_ADDRESS {
             let usable_until = Instant::now() + self.idle_lifetime;
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -19,6 +19,7 @@
 use crate::gateway::traces::log_over_quota;
 use crate::gateway::transport::{ResponseMeaning, TargetAttempt, TargetResponse};
 use crate::ids::{ServiceName, TargetId, WorkspaceId};
+use crate::memory::{MemoryKind, MemoryLease};
 use crate::placement::slots::SlotOutcome;
 use crate::placement::wait_queue::{SlotNeed, SlotRefusal};
 use crate::scheduling::RequestClass;
@@ -26,6 +27,9 @@
 /// Responses without events are buffered up to this size before the caller gets any of them, so that the
 /// request can be retried if the response breaks off.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 * 1024;
+/// Responses up to this size are buffered without an allocation from the budget. As much is read from a connection
+/// at once anyway.
+const UNCOUNTED_RESPONSE_BYTES: usize = 16 * 1024;
 /// Limit for attempts that did not run, which do not count against the route's own limit.
 const MAX_NOT_RUN_ATTEMPTS: usize = 6;
 /// Time until the response to a batch item must begin. Items have no caller that would give up on a target
@@ -45,6 +49,8 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// The body that the target returned.
     pub body: ResponseBody,
+    /// The memory of a complete body, held until it is sent.
+    pub memory: Option<MemoryLease>,
 }
 
 /// The body of a response.
@@ -369,6 +375,7 @@
         history: &mut AttemptHistory,
     ) -> Result<Option<ForwardResponse>, GatewayRefusal> {
         let mut buffer = BytesMut::new();
+        let mut lease = None;
         let body = loop {
             match attempt.response.body.next().await {
                 Some(Ok(chunk)) => buffer.extend_from_slice(&chunk),
@@ -383,11 +390,14 @@
                     return self.check_retry(admitted, history).map(|()| None);
                 }
             }
-            if buffer.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            let has_memory = self.hold_response(&mut lease, buffer.len());
+            if buffer.len() > MAX_BUFFERED_RESPONSE_BYTES || !has_memory {
+                // The queue to the caller has allocations of its own.
+                drop(lease);
                 let status = attempt.response.status;
                 let headers = std::mem::take(&mut attempt.response.headers);
                 let body = self.forward_rest(admitted, attempt, buffer.freeze());
-                return Ok(Some(ForwardResponse { status, headers, body }));
+                return Ok(Some(ForwardResponse { status, headers, body, memory: None }));
             }
         };
         let failed = attempt.response.status.is_server_error();
@@ -404,7 +414,19 @@
         {
             return Ok(None);
         }
-        Ok(Some(ForwardResponse { status, headers, body }))
+        Ok(Some(ForwardResponse { status, headers, body, memory: lease }))
+    }
+
+    /// Reserves memory for a response of which `bytes` are buffered. Returns whether there is enough.
+    fn hold_response(&self, lease: &mut Option<MemoryLease>, bytes: usize) -> bool {
+        if bytes <= UNCOUNTED_RESPONSE_BYTES {
+            return true;
+        }
+        if let Some(lease) = lease {
+            return lease.try_resize(bytes);
+        }
+        *lease = self.memory.try_reserve(MemoryKind::Response, bytes);
+        lease.is_some()
     }
 
     /// Forwards a response that is too large to buffer as it arrives.
@@ -414,7 +436,7 @@
         attempt: RunningAttempt,
         first: Bytes,
     ) -> ResponseBody {
-        let (chunks, receiver) = open_body();
+        let (chunks, receiver) = open_body(&self.memory);
         let ends_at = admitted.ends_at;
         let running = self.count_running();
         tokio::task::spawn_local(async move {
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -18,6 +18,7 @@
 use crate::gateway::runtime::GatewayCore;
 use crate::gateway::transport::TargetTransport;
 use crate::ids::{DataCentreId, VmId};
+use crate::memory::{MemoryLedger, MemorySettings};
 use crate::platform::rows::RowStore;
 
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -48,6 +49,8 @@
     pub learns_target_speeds: bool,
     /// Whether scarce capacity is divided among workspaces, and refusals name a time at which there is room.
     pub divides_fairly: bool,
+    /// Limits of what the VM holds for callers and targets.
+    pub memory: MemorySettings,
 }
 
 /// A running gateway. Clones refer to the same gateway.
@@ -69,6 +72,7 @@
         decoder: Rc<dyn RowDecoder>,
         connections: ConnectionPool,
     ) -> Result<Self, String> {
+        settings.memory.check()?;
         let core = GatewayCore::open(settings, transport, rows, decoder, connections)?;
         log::info!(vm = core.settings.vm.as_str(), incarnation = core.incarnation; "gateway started");
         Ok(Self { core })
@@ -163,6 +167,16 @@
         }
     }
 
+    /// Returns the memory budget of the VM.
+    pub fn memory(&self) -> &MemoryLedger {
+        &self.core.memory
+    }
+
+    /// Counts an event by kind and outcome in the metrics.
+    pub fn count(&self, what: &'static str, outcome: &str) {
+        self.core.metrics.count(what, outcome);
+    }
+
     /// Returns whether the balancer should send new connections to this VM.
     pub fn is_ready(&self) -> bool {
         !self.core.is_stopping() && self.core.catalog().is_some()
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -20,6 +20,7 @@
 };
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
+use crate::memory::MemoryKind;
 use crate::placement::slots::SlotOutcome;
 use crate::platform::rows::{RowError, RowTransaction};
 use crate::scheduling::RequestClass;
@@ -410,6 +411,11 @@
                 host: self.head.host.clone(),
                 headers: headers.collect(),
                 body: item.body.clone().into(),
+                memory: self
+                    .core
+                    .memory
+                    .try_reserve(MemoryKind::Batch, item.body.len())
+                    .map(Rc::new),
                 key: None,
                 caller_timeout: None,
                 received_at: monotonic(),
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::gateway::forward::AdmittedRequest;
+use crate::memory::{MemoryKind, MemoryLedger};
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct OutcomeLabels {
@@ -17,6 +18,11 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RankLabels {
     rank: u32,
@@ -40,6 +46,9 @@
     quota_dropped: Gauge,
     quarantines: Gauge,
     dropped_messages: Gauge,
+    memory_held: Family<KindLabels, Gauge>,
+    memory_refused: Gauge,
+    memory_reclaimed: Gauge,
 }
 
 impl GatewayMetrics {
@@ -57,6 +66,9 @@
             quota_dropped: Gauge::default(),
             quarantines: Gauge::default(),
             dropped_messages: Gauge::default(),
+            memory_held: Family::default(),
+            memory_refused: Gauge::default(),
+            memory_reclaimed: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -95,6 +107,22 @@
             "Messages of other VMs that could not be decoded",
             metrics.dropped_messages.clone(),
         );
+        registry.register_with_unit(
+            "memory_held",
+            "Memory held for callers and targets",
+            Unit::Bytes,
+            metrics.memory_held.clone(),
+        );
+        registry.register(
+            "memory_refused",
+            "Allocations that were refused for lack of memory",
+            metrics.memory_refused.clone(),
+        );
+        registry.register(
+            "memory_reclaimed",
+            "Slow bodies that lost their allocation to others",
+            metrics.memory_reclaimed.clone(),
+        );
         metrics
     }
 
@@ -109,7 +137,7 @@
         self.first_event.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
-    pub(crate) fn set_gauges(&self, gauges: &GaugeValues) {
+    pub(crate) fn set_gauges(&self, gauges: &GaugeValues<'_>) {
         self.running.set(gauges.running as i64);
         self.targets.set(gauges.targets as i64);
         self.live_peers.set(gauges.live_peers as i64);
@@ -119,6 +147,12 @@
         self.quota_dropped.set(gauges.quota_dropped as i64);
         self.quarantines.set(gauges.quarantines as i64);
         self.dropped_messages.set(gauges.dropped_messages as i64);
+        for kind in MemoryKind::ALL {
+            let labels = KindLabels { kind: kind.as_str() };
+            self.memory_held.get_or_create(&labels).set(gauges.memory.held_by_kind(kind) as i64);
+        }
+        self.memory_refused.set(gauges.memory.refused() as i64);
+        self.memory_reclaimed.set(gauges.memory.reclaimed() as i64);
     }
 
     /// Returns all metrics as text.
@@ -132,7 +166,7 @@
 }
 
 /// The values of all gauges at one moment.
-pub(crate) struct GaugeValues {
+pub(crate) struct GaugeValues<'a> {
     pub(crate) running: usize,
     pub(crate) targets: usize,
     pub(crate) live_peers: usize,
@@ -142,4 +176,5 @@
     pub(crate) quota_dropped: f64,
     pub(crate) quarantines: usize,
     pub(crate) dropped_messages: u64,
+    pub(crate) memory: &'a MemoryLedger,
 }
--- a/crates/ebonydock/src/gateway/request.rs
+++ b/crates/ebonydock/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! Requests that the gateway forwards.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{HeaderName, HeaderValue, Method};
@@ -7,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::KeyHash;
+use crate::memory::MemoryLease;
 
 /// The id of one attempt of a caller to send a request. It reaches the target unchanged.
 pub type RequestId = std::sync::Arc<str>;
@@ -60,6 +62,8 @@
     pub headers: Vec<(HeaderName, HeaderValue)>,
     /// The request body.
     pub body: Bytes,
+    /// The memory of the body, held until the request has ended; `None` if others account for it.
+    pub memory: Option<Rc<MemoryLease>>,
     /// The hash of the caller's key.
     pub key: Option<KeyHash>,
     /// How long the caller waits, counted from `received_at`; `None` if the caller did not set a limit.
--- a/crates/ebonydock/src/gateway/response_body.rs
+++ b/crates/ebonydock/src/gateway/response_body.rs
@@ -9,13 +9,15 @@
 use tokio::sync::mpsc;
 
 use crate::gateway::connections::SendError;
+use crate::memory::{MemoryKind, MemoryLease, MemoryLedger};
 
 /// Chunks, each up to 64 KB, that are queued for a slow caller. While the queue is full, nothing is read from
 /// the target's connection.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
 enum BodyPart {
-    Chunk(Bytes),
+    /// The lease is dropped when the chunk leaves the queue. A chunk that is alone in the queue needs none.
+    Chunk(Bytes, Option<MemoryLease>),
     Failed(SendError),
     End,
 }
@@ -33,7 +35,10 @@
             return None;
         }
         match self.parts.recv().await {
-            Some(BodyPart::Chunk(chunk)) => Some(Ok(chunk)),
+            Some(BodyPart::Chunk(chunk, lease)) => {
+                drop(lease);
+                Some(Ok(chunk))
+            }
             Some(BodyPart::End) => {
                 self.has_ended = true;
                 None
@@ -55,14 +60,26 @@
 /// Sends the chunks of a body.
 pub(crate) struct BodySender {
     parts: mpsc::Sender<BodyPart>,
+    memory: MemoryLedger,
 }
 
 impl BodySender {
     /// Queues a chunk, waiting at most `time_left` for room.
     pub(crate) async fn send(&self, chunk: Bytes, time_left: Duration) -> Result<(), QueueError> {
-        match tokio::time::timeout(time_left, self.parts.send(BodyPart::Chunk(chunk))).await {
+        let queued = async {
+            let lease = self.memory.try_reserve(MemoryKind::Response, chunk.len());
+            if lease.is_none() {
+                // Without memory, the queue holds one chunk, so that every response makes progress.
+                drop(self.parts.reserve_many(MAX_QUEUED_CHUNKS).await?);
+            }
+            self.parts
+                .send(BodyPart::Chunk(chunk, lease))
+                .await
+                .map_err(|_| mpsc::error::SendError(()))
+        };
+        match tokio::time::timeout(time_left, queued).await {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(QueueError::CallerLeft),
+            Ok(Err(mpsc::error::SendError(()))) => Err(QueueError::CallerLeft),
             Err(_) => Err(QueueError::DeadlinePassed),
         }
     }
@@ -86,7 +103,10 @@
 }
 
 /// Opens the queue of one body.
-pub(crate) fn open_body() -> (BodySender, BodyReceiver) {
+pub(crate) fn open_body(memory: &MemoryLedger) -> (BodySender, BodyReceiver) {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    (BodySender { parts: sender }, BodyReceiver { parts: receiver, has_ended: false })
+    (
+        BodySender { parts: sender, memory: memory.clone() },
+        BodyReceiver { parts: receiver, has_ended: false },
+    )
 }
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -27,6 +27,7 @@
 use crate::gateway::quota::{QuotaLedger, QuotaState};
 use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
 use crate::ids::{TargetId, VmId, WorkspaceId};
+use crate::memory::MemoryLedger;
 use crate::placement::SlotPlacement;
 use crate::placement::dispatcher::RequestDispatcher;
 use crate::placement::slots::ServingTarget;
@@ -45,6 +46,7 @@
     pub(crate) peering: GatewayPeering,
     pub(crate) jobs: JobService,
     pub(crate) leases: LeaseRegistry,
+    pub(crate) memory: MemoryLedger,
     pub(crate) prompts: PromptGuard,
     decoder: Rc<dyn RowDecoder>,
     connections: ConnectionPool,
@@ -88,6 +90,7 @@
                 Rc::new(connections.clone()),
             )),
             jobs: JobService::open(&settings.vm),
+            memory: MemoryLedger::open(settings.memory.clone()),
             settings,
             incarnation,
             transport,
@@ -149,6 +152,7 @@
             quota_dropped,
             quarantines: self.quarantine_count(),
             dropped_messages: self.peering.dropped_messages(),
+            memory: &self.memory,
         });
         self.metrics.encode()
     }
--- a/crates/ebonydock/src/gateway/stream_forwarder.rs
+++ b/crates/ebonydock/src/gateway/stream_forwarder.rs
@@ -40,11 +40,12 @@
         };
         self.record_prompt_answer(admitted);
         self.metrics.count_first_event(admitted, monotonic());
-        let (chunks, receiver) = open_body();
+        let (chunks, receiver) = open_body(&self.memory);
         let response = ForwardResponse {
             status: attempt.response.status,
             headers: std::mem::take(&mut attempt.response.headers),
             body: ResponseBody::Chunks(receiver),
+            memory: None,
         };
         let forwarder = StreamForwarder {
             core: Rc::clone(self),
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -524,6 +524,7 @@
             deregistration_delay: Duration::from_millis(100),
             learns_target_speeds: false,
             divides_fairly: false,
+            memory: crate::memory::MemorySettings::default(),
         };
         let gateway = Gateway::open(
             settings,
@@ -547,6 +548,7 @@
         host: "shop.example".to_owned(),
         headers: Vec::new(),
         body: Bytes::from_static(b"question"),
+        memory: None,
         key: Some(crate::configuration::KeyHash::of("secret")),
         caller_timeout: Some(Duration::from_secs(3)),
         received_at: crate::clock::monotonic(),
--- a/crates/ebonydock/src/gateway/tests/streams.rs
+++ b/crates/ebonydock/src/gateway/tests/streams.rs
@@ -12,6 +12,7 @@
 use crate::gateway::response_body::open_body;
 use crate::gateway::tests::catalog::config;
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, event, request, run};
+use crate::memory::{MemoryLedger, MemorySettings};
 
 fn lost() -> TargetBehavior {
     TargetBehavior::Fails(SendError::Lost("reset".to_owned()))
@@ -198,7 +199,7 @@
 #[test]
 fn abandoned_response_does_not_look_complete() {
     run(async {
-        let (sender, mut receiver) = open_body();
+        let (sender, mut receiver) = open_body(&MemoryLedger::open(MemorySettings::default()));
         sender.send(Bytes::from_static(b"half"), Duration::from_secs(1)).await.unwrap();
         // As when the forwarding task is cancelled.
         drop(sender);
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -12,6 +12,7 @@
 mod jobs;
 mod limits;
 mod membership;
+mod memory;
 mod metrics;
 mod operators;
 mod ownership;
@@ -51,6 +52,10 @@
     AcquireContext, BucketLedger, BucketOwner, BucketShare, SpendingAllowance, TokenLoan,
 };
 pub use membership::{HeartbeatTimeouts, MemberRecord, MembershipView};
+pub use memory::{
+    AdmittedConnection, ConnectionAdmission, ConnectionTable, HolderId, MemoryBudget, MemoryKind,
+    MemoryLease, MemoryLedger, MemorySettings, MemoryShortage, RequestBuffer,
+};
 pub use operators::messages::{
     ConfigReply, DataCentreReport, EditBody, EditReply, KeyEntry, MemberReport, StatusReply,
 };
--- a/crates/ebonydock/src/operators/server.rs
+++ b/crates/ebonydock/src/operators/server.rs
@@ -65,7 +65,7 @@
 ) -> HttpResponse {
     let result = async {
         check_before_body(authorize(&context, &request), &mut payload).await?;
-        let body = read_body(payload, MAX_BODY_BYTES).await?;
+        let (body, _memory) = read_body(&context, &request, payload, MAX_BODY_BYTES).await?;
         apply_edit(&context, parse_json(&body)?).await
     };
     match result.await {
--- a/crates/ebonydock/src/settings/mod.rs
+++ b/crates/ebonydock/src/settings/mod.rs
@@ -15,6 +15,7 @@
 use crate::configuration::KeyHash;
 use crate::ids::{DataCentreId, VmId};
 use crate::membership::messages::VmAddress;
+use crate::memory::MemorySettings;
 use crate::scheduling::{AffinityPolicy, PoolPolicy, PreemptionPolicy};
 
 /// Settings of a VM.
@@ -48,6 +49,8 @@
     pub online: OnlineSettings,
     /// Limits of batch jobs.
     pub jobs: JobSettings,
+    /// Limits of what the VM holds for callers.
+    pub memory: MemorySettings,
 }
 
 /// Paths of the certificate files, in PEM.
@@ -101,6 +104,7 @@
     "pool",
     "online",
     "jobs",
+    "limits",
 ];
 
 impl VmSettings {
@@ -131,6 +135,7 @@
         let pool = top.optional_object("pool", read_pool).unwrap_or_default();
         let online = top.optional_object("online", read_online).unwrap_or_default();
         let jobs = top.optional_object("jobs", read_jobs).unwrap_or_default();
+        let memory = top.optional_object("limits", read_limits).unwrap_or_default();
         let data_centres: Vec<DataCentreId> =
             data_centres?.into_iter().map(DataCentreId::from).collect();
         if let Some(own) = &data_centre
@@ -154,6 +159,7 @@
             pool,
             online,
             jobs,
+            memory,
         })
     }
 }
@@ -244,6 +250,17 @@
     }
 }
 
+/// Reads the memory and the descriptors of the process, from which all other limits are derived.
+fn read_limits(object: &mut ObjectReader<'_>) -> Option<MemorySettings> {
+    object.allow_fields(&["memory_mb", "max_fds"]);
+    let bytes =
+        object.has("memory_mb").then(|| object.integer("memory_mb", 512, 48, 1 << 20) << 20);
+    let descriptors =
+        object.has("max_fds").then(|| object.integer("max_fds", 4096, 400, 1 << 20) as usize);
+    let settings = MemorySettings::derive(bytes, descriptors);
+    settings.map_err(|reason| object.report("memory_mb", reason)).ok()
+}
+
 fn read_jobs(object: &mut ObjectReader<'_>) -> Option<JobSettings> {
     object.allow_fields(&["chunk_items", "parallel_items", "parallel_chunks", "item_limit"]);
     let default = JobSettings::default();
--- a/crates/ebonydock/src/vm/context.rs
+++ b/crates/ebonydock/src/vm/context.rs
@@ -15,6 +15,7 @@
 use crate::jobs::JobKey;
 use crate::limits::{BucketOwner, SpendingAllowance};
 use crate::membership::MembershipView;
+use crate::memory::MemoryLedger;
 use crate::metrics::VmMetrics;
 use crate::ownership::owner_of;
 use crate::peers::messages::{PeerReply, PeerRequest};
@@ -73,6 +74,8 @@
     pub(crate) engines: Rc<dyn EngineClient>,
     /// The client of the plain services.
     pub(crate) services: Rc<dyn ServiceClient>,
+    /// The memory that this thread holds for callers. One thread serves all callers.
+    pub(crate) memory: MemoryLedger,
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -290,6 +293,7 @@
             fleet_list: platform,
             engines: Rc::clone(&targets) as Rc<dyn EngineClient>,
             services: targets,
+            memory: MemoryLedger::open(shared.settings.memory.clone()),
             shared,
         })
     }
