Memory: responses and batches stay out of the part for small requests; smaller receive buffers

Chunks of unread responses are small holders that cannot be reclaimed, and could fill the part of the budget that is reserved for small requests. Only request bodies of up to 64 KB may use it now; the property test of small requests offers responses and batches beside large bodies.

--- a/crates/ebonydock/src/memory/budget.rs
+++ b/crates/ebonydock/src/memory/budget.rs
@@ -59,7 +59,7 @@
     holders: BTreeMap<HolderId, MemoryHolder>,
     next_id: u64,
     held: u64,
-    /// Held by holders that are not small.
+    /// Held by all but small request bodies, which only they may exceed.
     held_by_large: u64,
     held_by_kind: BTreeMap<MemoryKind, u64>,
 }
@@ -123,7 +123,7 @@
             loop {
                 let next = reclaimable.pop().ok_or(MemoryShortage)?;
                 // A holder whose memory does not help keeps it.
-                if !self.helps(bytes, next) {
+                if !self.helps(kind, bytes, next) {
                     continue;
                 }
                 slow.push(next);
@@ -140,9 +140,13 @@
     }
 
     /// Returns whether memory of another holder can be used for a holder of `bytes`.
-    fn helps(&self, bytes: u64, other: HolderId) -> bool {
-        let other = self.holders.get(&other).map_or(0, |holder| holder.bytes);
-        other > 0 && (!self.is_large(bytes) || self.is_large(other) || self.held_is_short(bytes))
+    fn helps(&self, kind: MemoryKind, bytes: u64, other: HolderId) -> bool {
+        let Some(other) = self.holders.get(&other).filter(|other| other.bytes > 0) else {
+            return false;
+        };
+        !self.is_large(kind, bytes)
+            || self.is_large(other.kind, other.bytes)
+            || self.held_is_short(bytes)
     }
 
     /// Returns whether the whole budget, not only the part of large holders, is too small for `bytes` more.
@@ -150,23 +154,24 @@
         self.held.saturating_add(bytes) > self.settings.budget_bytes
     }
 
-    fn is_large(&self, bytes: u64) -> bool {
-        bytes > self.settings.small_bytes
+    /// Returns whether a holder may not use the reserve: all but small request bodies.
+    fn is_large(&self, kind: MemoryKind, bytes: u64) -> bool {
+        kind != MemoryKind::RequestBody || bytes > self.settings.small_bytes
     }
 
-    fn large_part(&self, bytes: u64) -> u64 {
-        if self.is_large(bytes) { bytes } else { 0 }
+    fn large_part(&self, kind: MemoryKind, bytes: u64) -> u64 {
+        if self.is_large(kind, bytes) { bytes } else { 0 }
     }
 
     /// Returns whether a holder may change from `before` to `bytes` once the holders in `without` are gone.
     fn fits(&self, kind: MemoryKind, before: u64, bytes: u64, without: &[HolderId]) -> bool {
         let settings = &self.settings;
         let (mut held, mut large) =
-            (self.held - before, self.held_by_large - self.large_part(before));
+            (self.held - before, self.held_by_large - self.large_part(kind, before));
         let mut responses = self.held_by_kind(MemoryKind::Response);
         for holder in without.iter().filter_map(|id| self.holders.get(id)) {
             held -= holder.bytes;
-            large -= self.large_part(holder.bytes);
+            large -= self.large_part(holder.kind, holder.bytes);
             if holder.kind == MemoryKind::Response {
                 responses -= holder.bytes;
             }
@@ -176,7 +181,7 @@
             || (responses - before).saturating_add(bytes) <= settings.response_bytes;
         fits_kind
             && held.saturating_add(bytes) <= settings.budget_bytes
-            && (!self.is_large(bytes) || large.saturating_add(bytes) <= large_limit)
+            && (!self.is_large(kind, bytes) || large.saturating_add(bytes) <= large_limit)
     }
 
     /// Returns the bodies other than `except` that arrive too slowly, the slowest last.
@@ -228,7 +233,8 @@
         let Some(holder) = self.holders.get_mut(&id) else { return };
         let (kind, before) = (holder.kind, std::mem::replace(&mut holder.bytes, bytes));
         self.held = self.held - before + bytes;
-        self.held_by_large = self.held_by_large - self.large_part(before) + self.large_part(bytes);
+        self.held_by_large =
+            self.held_by_large - self.large_part(kind, before) + self.large_part(kind, bytes);
         let held_by_kind = self.held_by_kind.entry(kind).or_default();
         *held_by_kind = *held_by_kind - before + bytes;
     }
--- a/crates/ebonydock/src/memory/settings.rs
+++ b/crates/ebonydock/src/memory/settings.rs
@@ -12,11 +12,11 @@
 /// The part of the memory from which everything for callers and targets is allocated. The rest is for the program,
 /// its tables, the buffers of connections and what the allocator can't reuse, which is up to the same again.
 const BUDGET_FRACTION: f64 = 0.3;
-/// The part of the budget that only small holders may use.
+/// The part of the budget that only small request bodies may use.
 const SMALL_RESERVE_FRACTION: f64 = 0.25;
 /// The part of the budget that unread responses may use.
 const RESPONSE_FRACTION: f64 = 0.35;
-/// Holders up to this size are small. Requests of ordinary callers have a few KB.
+/// Bodies up to this size are small. Requests of ordinary callers have a few KB.
 const SMALL_BYTES: u64 = 64 * 1024;
 /// Descriptors for files.
 const FILE_DESCRIPTORS: usize = 200;
@@ -33,9 +33,9 @@
 pub struct MemorySettings {
     /// Bytes that everything held for callers and targets may have together.
     pub budget_bytes: u64,
-    /// The part of the budget that is reserved for holders of at most `small_bytes`.
+    /// The part of the budget that is reserved for request bodies of at most `small_bytes`.
     pub small_reserve_bytes: u64,
-    /// The largest holder that may use the reserve, in bytes.
+    /// The largest request body that may use the reserve, in bytes.
     pub small_bytes: u64,
     /// Bytes that responses that callers have not read may have together.
     pub response_bytes: u64,
@@ -83,9 +83,9 @@
             body_stall_time: BODY_STALL_TIME,
             max_caller_connections,
             max_idle_connections: for_connections - 2 * max_caller_connections,
-            // 64 KB at 64 MB: at the limit of connections, unread bytes then take an eighth of the memory.
+            // At the limit of connections, unread bytes then take less than a tenth of the memory.
             receive_buffer_bytes: memory_bytes
-                .map(|bytes| (bytes / 1024).clamp(32 * 1024, 256 * 1024) as usize),
+                .map(|bytes| (bytes / 2048).clamp(32 * 1024, 256 * 1024) as usize),
         })
     }
 }
--- a/crates/ebonydock/src/memory/tests.rs
+++ b/crates/ebonydock/src/memory/tests.rs
@@ -107,19 +107,21 @@
 
     fn check(&self) {
         let settings = settings();
-        let sum = |kind: Option<MemoryKind>, above: u64| -> u64 {
-            let sizes = self.sizes.values();
-            let counted =
-                sizes.filter(|(own, bytes)| kind.is_none_or(|kind| kind == *own) && *bytes > above);
-            counted.map(|(_, bytes)| bytes).sum()
+        let sum = |kind: Option<MemoryKind>| -> u64 {
+            let mut sizes = self.sizes.values().copied().collect::<Vec<_>>();
+            sizes.retain(|(own, _)| kind.is_none_or(|kind| kind == *own));
+            sizes.into_iter().map(|(_, bytes)| bytes).sum()
         };
-        assert_eq!(self.budget.held(), sum(None, 0), "units leaked");
+        assert_eq!(self.budget.held(), sum(None), "units leaked");
         assert_eq!(self.budget.holders(), self.sizes.len(), "holders leaked");
         assert!(self.budget.held() <= settings.budget_bytes, "over the budget");
-        let large = sum(None, settings.small_bytes);
+        let small = self.sizes.values().filter(|(kind, bytes)| {
+            *kind == MemoryKind::RequestBody && *bytes <= settings.small_bytes
+        });
+        let large = sum(None) - small.map(|(_, bytes)| bytes).sum::<u64>();
         assert!(large <= settings.budget_bytes - settings.small_reserve_bytes, "reserve used");
         let responses = self.budget.held_by_kind(MemoryKind::Response);
-        assert_eq!(responses, sum(Some(MemoryKind::Response), 0));
+        assert_eq!(responses, sum(Some(MemoryKind::Response)));
         assert!(responses <= settings.response_bytes, "responses over their part");
     }
 }
@@ -139,16 +141,18 @@
         prop_assert_eq!((model.budget.held(), model.budget.holders()), (0, 0));
     }
 
-    /// Guards against small requests that starve while large bodies hold or ask for everything.
+    /// Guards against small requests that starve while large bodies, responses or batches hold or ask for everything.
     #[test]
     fn small_request_is_admitted_whatever_large_ones_do(
-        sizes in prop::collection::vec(65 * 1024..8 * MIB, 1..200),
+        sizes in prop::collection::vec((kinds(), 65 * 1024..8 * MIB), 1..200),
         waits in prop::collection::vec(0..500_u64, 200),
         arrives in any::<bool>(),
     ) {
         let mut model = BudgetModel::open();
-        for (bytes, wait) in sizes.into_iter().zip(waits) {
-            model.run(BudgetStep::Add(MemoryKind::RequestBody, arrives));
+        for ((kind, bytes), wait) in sizes.into_iter().zip(waits) {
+            // The chunks of responses are small, and there may be any number of them.
+            let bytes = if kind == MemoryKind::Response { bytes / 128 } else { bytes };
+            model.run(BudgetStep::Add(kind, arrives && kind == MemoryKind::RequestBody));
             model.now += at(wait);
             let large = *model.sizes.keys().last().unwrap();
             let _ = model.resize(large, bytes);
