--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -18,6 +18,7 @@
 use crate::gateway::runtime::GatewayCore;
 use crate::gateway::transport::TargetTransport;
 use crate::ids::{DataCentreId, VmId};
+use crate::memory::{MemoryLedger, MemorySettings};
 use crate::platform::rows::RowStore;
 use crate::rollouts::RolloutSettings;
 
@@ -51,6 +52,8 @@
     pub divides_fairly: bool,
     /// Bounds of roll-outs of versions; `None` if versions of targets make no difference.
     pub rollouts: Option<RolloutSettings>,
+    /// Limits of what the VM holds for callers and targets.
+    pub memory: MemorySettings,
 }
 
 /// A running gateway. Clones refer to the same gateway.
@@ -72,6 +75,7 @@
         decoder: Rc<dyn RowDecoder>,
         connections: ConnectionPool,
     ) -> Result<Self, String> {
+        settings.memory.check()?;
         let core = GatewayCore::open(settings, transport, rows, decoder, connections)?;
         log::info!(vm = core.settings.vm.as_str(), incarnation = core.incarnation; "gateway started");
         Ok(Self { core })
@@ -166,6 +170,16 @@
         }
     }
 
+    /// Returns the memory budget of the VM.
+    pub fn memory(&self) -> &MemoryLedger {
+        &self.core.memory
+    }
+
+    /// Counts an event by kind and outcome in the metrics.
+    pub fn count(&self, what: &'static str, outcome: &str) {
+        self.core.metrics.count(what, outcome);
+    }
+
     /// Returns whether the balancer should send new connections to this VM.
     pub fn is_ready(&self) -> bool {
         !self.core.is_stopping() && self.core.catalog().is_some()
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::forward::AdmittedRequest;
 use crate::ids::{ServiceName, VersionName};
+use crate::memory::{MemoryKind, MemoryLedger};
 use crate::rollouts::answer_track::AnswerSubject;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -21,6 +22,11 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RankLabels {
     rank: u32,
@@ -53,6 +59,9 @@
     version_answers: Family<VersionLabels, Counter>,
     version_failures: Family<VersionLabels, Counter>,
     rollout_share: Family<VersionLabels, Gauge<f64, AtomicU64>>,
+    memory_held: Family<KindLabels, Gauge>,
+    memory_refused: Gauge,
+    memory_reclaimed: Gauge,
 }
 
 impl GatewayMetrics {
@@ -73,6 +82,9 @@
             version_answers: Family::default(),
             version_failures: Family::default(),
             rollout_share: Family::default(),
+            memory_held: Family::default(),
+            memory_refused: Gauge::default(),
+            memory_reclaimed: Gauge::default(),
         };
         let registry = &mut metrics.registry;
         registry.register(
@@ -126,6 +138,22 @@
             "Share of a service's requests that the version of its last roll-out gets",
             metrics.rollout_share.clone(),
         );
+        registry.register_with_unit(
+            "memory_held",
+            "Memory held for callers and targets",
+            Unit::Bytes,
+            metrics.memory_held.clone(),
+        );
+        registry.register(
+            "memory_refused",
+            "Allocations that were refused for lack of memory",
+            metrics.memory_refused.clone(),
+        );
+        registry.register(
+            "memory_reclaimed",
+            "Slow bodies that lost their allocation to others",
+            metrics.memory_reclaimed.clone(),
+        );
         metrics
     }
 
@@ -162,7 +190,7 @@
         }
     }
 
-    pub(crate) fn set_gauges(&self, gauges: &GaugeValues) {
+    pub(crate) fn set_gauges(&self, gauges: &GaugeValues<'_>) {
         self.running.set(gauges.running as i64);
         self.targets.set(gauges.targets as i64);
         self.live_peers.set(gauges.live_peers as i64);
@@ -172,6 +200,12 @@
         self.quota_dropped.set(gauges.quota_dropped as i64);
         self.quarantines.set(gauges.quarantines as i64);
         self.dropped_messages.set(gauges.dropped_messages as i64);
+        for kind in MemoryKind::ALL {
+            let labels = KindLabels { kind: kind.as_str() };
+            self.memory_held.get_or_create(&labels).set(gauges.memory.held_by_kind(kind) as i64);
+        }
+        self.memory_refused.set(gauges.memory.refused() as i64);
+        self.memory_reclaimed.set(gauges.memory.reclaimed() as i64);
     }
 
     /// Returns all metrics as text.
@@ -185,7 +219,7 @@
 }
 
 /// The values of all gauges at one moment.
-pub(crate) struct GaugeValues {
+pub(crate) struct GaugeValues<'a> {
     pub(crate) running: usize,
     pub(crate) targets: usize,
     pub(crate) live_peers: usize,
@@ -195,4 +229,5 @@
     pub(crate) quota_dropped: f64,
     pub(crate) quarantines: usize,
     pub(crate) dropped_messages: u64,
+    pub(crate) memory: &'a MemoryLedger,
 }
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -27,6 +27,7 @@
 use crate::gateway::quota::{QuotaLedger, QuotaState};
 use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
 use crate::ids::{TargetId, VmId, WorkspaceId};
+use crate::memory::MemoryLedger;
 use crate::placement::SlotPlacement;
 use crate::placement::dispatcher::RequestDispatcher;
 use crate::placement::slots::ServingTarget;
@@ -47,6 +48,7 @@
     pub(crate) peering: GatewayPeering,
     pub(crate) jobs: JobService,
     pub(crate) leases: LeaseRegistry,
+    pub(crate) memory: MemoryLedger,
     pub(crate) prompts: PromptGuard,
     /// `None` where roll-outs are not enabled.
     pub(crate) rollouts: Option<Rc<RolloutService>>,
@@ -96,6 +98,7 @@
                 let local = RolloutLeader { vm: settings.vm.clone(), incarnation };
                 Rc::new(RolloutService::open(bounds, local))
             }),
+            memory: MemoryLedger::open(settings.memory.clone()),
             settings,
             incarnation,
             transport,
@@ -158,6 +161,7 @@
             quota_dropped,
             quarantines: self.quarantine_count(),
             dropped_messages: self.peering.dropped_messages(),
+            memory: &self.memory,
         });
         self.metrics.set_rollout_shares(&self.rollout_shares());
         self.metrics.encode()
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -560,6 +560,7 @@
             learns_target_speeds: false,
             divides_fairly: false,
             rollouts: self.rollouts.get(),
+            memory: crate::memory::MemorySettings::default(),
         };
         let gateway = Gateway::open(
             settings,
@@ -583,6 +584,7 @@
         host: "shop.example".to_owned(),
         headers: Vec::new(),
         body: Bytes::from_static(b"question"),
+        memory: None,
         key: Some(crate::configuration::KeyHash::of("secret")),
         caller_timeout: Some(Duration::from_secs(3)),
         received_at: crate::clock::monotonic(),
