Placement: targets that fail their requests are ejected on evidence from all VMs

A target that answers each request with an error at once looks idle and attracts requests; each VM had to learn of it by itself, and an answer of 500 counted as a response like any other.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -413,7 +413,8 @@
         if failed {
             history.excluded.push(attempt.lease.target().clone());
         }
-        attempt.lease.release(SlotOutcome::Responded);
+        let outcome = if failed { SlotOutcome::ServerError } else { SlotOutcome::Responded };
+        attempt.lease.release(outcome);
         // A server error from one target is retried at another one if the route allows retries.
         if failed && admitted.route.class.may_retry() && history.runs < admitted.route.max_attempts
         {
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -46,8 +46,9 @@
     pub stop_timeout: Duration,
     /// How long the balancer still sends new connections after a VM becomes not ready.
     pub deregistration_delay: Duration,
-    /// Whether placement learns how fast each target is. Otherwise targets are compared by the use of their slots.
-    pub learns_target_speeds: bool,
+    /// Whether targets that fail their requests are taken out of use on evidence from all VMs. Otherwise only
+    /// targets that cannot be reached are.
+    pub ejects_outliers: bool,
     /// Whether scarce capacity is divided among workspaces, and refusals name a time at which there is room.
     pub divides_fairly: bool,
     /// Bounds of roll-outs of versions; `None` if versions of targets make no difference.
--- a/crates/ebonydock/src/gateway/leases.rs
+++ b/crates/ebonydock/src/gateway/leases.rs
@@ -138,7 +138,9 @@
         }
         let mut dispatcher = self.core.placement();
         dispatcher.release(now, &self.target, self.class, self.outcome);
-        if self.outcome == SlotOutcome::Responded && self.class == RequestClass::Online {
+        let has_answered =
+            matches!(self.outcome, SlotOutcome::Responded | SlotOutcome::ServerError);
+        if has_answered && self.class == RequestClass::Online {
             dispatcher.record_service_time(&self.target, now.saturating_sub(self.placed_at));
         }
         drop(dispatcher);
@@ -231,10 +233,17 @@
         }
     }
 
+    fn log_ejections(&self, now: Duration) {
+        for target in self.dispatcher.borrow_mut().refresh_outliers(now) {
+            log::warn!(target_id = target.as_str(); "target ejected: its requests fail");
+        }
+    }
+
     /// Preempts batch items in favour of online requests, the latest deadline first, and lets others start.
     fn balance_batch(self: &Rc<Self>) {
         let now = monotonic();
         self.preempt_drained();
+        self.log_ejections(now);
         let preemptions = self.placement().balance_batch(now);
         for preemption in preemptions {
             let mut slots = self.leases.preemptible.borrow_mut();
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -1,5 +1,6 @@
 //! Reports in which VMs tell each other their load on targets and their use of quotas.
 
+use std::borrow::Cow;
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
@@ -8,6 +9,7 @@
 use crate::gateway::report_routes::ReportInterest;
 use crate::ids::{VmId, WorkspaceId};
 use crate::placement::load::{ReportedLoad, ReportedWait, VmReport};
+use crate::placement::outlier_ejection::ReportedOutlier;
 use crate::rollouts::RolloutNews;
 
 /// Quota that a VM has spent for a workspace in its current incarnation.
@@ -112,10 +114,12 @@
     pub waiting: Vec<ReportedWait>,
     /// Failed requests and quarantines of prompt parts; `None` if there are none.
     pub prompts: Option<Box<PromptReport>>,
-    /// News of roll-outs; `None` if none runs. Encoded behind the rest of the report, so that reports without them
-    /// do not become larger.
+    /// News of roll-outs; `None` if none runs. Sent as one of the [`ReportExtras`].
     #[serde(skip)]
     pub rollouts: Option<Box<RolloutNews>>,
+    /// Targets at which requests of the VM failed recently. Sent as one of the [`ReportExtras`].
+    #[serde(skip)]
+    pub outliers: Vec<ReportedOutlier>,
 }
 
 impl VmReport for LoadReport {
@@ -134,6 +138,24 @@
     fn waiting(&self) -> &[ReportedWait] {
         &self.waiting
     }
+
+    fn outliers(&self) -> &[ReportedOutlier] {
+        &self.outliers
+    }
+}
+
+/// Parts of a report that are rarely present. Encoded behind the rest of the report, so that reports without them do
+/// not become larger.
+#[derive(Serialize, Deserialize)]
+struct ReportExtras<'a> {
+    rollouts: Option<Cow<'a, Box<RolloutNews>>>,
+    outliers: Cow<'a, [ReportedOutlier]>,
+}
+
+impl ReportExtras<'_> {
+    fn is_empty(&self) -> bool {
+        self.rollouts.is_none() && self.outliers.is_empty()
+    }
 }
 
 /// Load report of one VM as sent. Every VM receives each report from two relays, so the content is decoded
@@ -155,7 +177,9 @@
     pub(crate) fn decode(&self) -> Result<LoadReport, postcard::Error> {
         let (mut report, rest) = postcard::take_from_bytes::<LoadReport>(self.content)?;
         if !rest.is_empty() {
-            report.rollouts = Some(Box::new(postcard::from_bytes(rest)?));
+            let extras: ReportExtras<'_> = postcard::from_bytes(rest)?;
+            report.rollouts = extras.rollouts.map(Cow::into_owned);
+            report.outliers = extras.outliers.into_owned();
         }
         (report.incarnation, report.sequence) = (self.incarnation, self.sequence);
         Ok(report)
@@ -186,8 +210,12 @@
     pub(crate) fn encode(vm: &VmId, report: &LoadReport) -> Self {
         let failed = |error| unreachable!("reports always encode: {error}");
         let mut content = postcard::to_stdvec(report).unwrap_or_else(failed);
-        if let Some(news) = &report.rollouts {
-            content.extend(postcard::to_stdvec(news).unwrap_or_else(failed));
+        let extras = ReportExtras {
+            rollouts: report.rollouts.as_ref().map(Cow::Borrowed),
+            outliers: Cow::Borrowed(&report.outliers),
+        };
+        if !extras.is_empty() {
+            content.extend(postcard::to_stdvec(&extras).unwrap_or_else(failed));
         }
         Self {
             vm: vm.clone(),
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -49,6 +49,7 @@
     first_event: Family<RankLabels, Histogram, fn() -> Histogram>,
     running: Gauge,
     targets: Gauge,
+    ejected_targets: Gauge,
     live_peers: Gauge,
     config_version: Gauge,
     connections: Gauge,
@@ -72,6 +73,7 @@
             first_event: Family::new_with_constructor(seconds_histogram as fn() -> Histogram),
             running: Gauge::default(),
             targets: Gauge::default(),
+            ejected_targets: Gauge::default(),
             live_peers: Gauge::default(),
             config_version: Gauge::default(),
             connections: Gauge::default(),
@@ -138,6 +140,11 @@
             "Share of a service's requests that the version of its last roll-out gets",
             metrics.rollout_share.clone(),
         );
+        registry.register(
+            "targets_ejected",
+            "Targets that get no requests because their requests fail",
+            metrics.ejected_targets.clone(),
+        );
         registry.register_with_unit(
             "memory_held",
             "Memory held for callers and targets",
@@ -193,6 +200,7 @@
     pub(crate) fn set_gauges(&self, gauges: &GaugeValues<'_>) {
         self.running.set(gauges.running as i64);
         self.targets.set(gauges.targets as i64);
+        self.ejected_targets.set(gauges.ejected_targets as i64);
         self.live_peers.set(gauges.live_peers as i64);
         self.config_version.set(gauges.config_version as i64);
         self.connections.set(gauges.connections_opened as i64);
@@ -222,6 +230,7 @@
 pub(crate) struct GaugeValues<'a> {
     pub(crate) running: usize,
     pub(crate) targets: usize,
+    pub(crate) ejected_targets: usize,
     pub(crate) live_peers: usize,
     pub(crate) config_version: u64,
     pub(crate) connections_opened: u64,
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -33,6 +33,7 @@
     report.targets != previous.targets
         || report.waiting != previous.waiting
         || report.rollouts != previous.rollouts
+        || report.outliers != previous.outliers
         || report.quotas.iter().any(|spent| !is_known(spent))
         || report
             .prompts
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -119,6 +119,9 @@
             is_closed: Cell::new(false),
             closing: Notify::new(),
         });
+        if core.settings.ejects_outliers {
+            core.dispatcher.borrow_mut().eject_outliers();
+        }
         core.spawn_followers();
         core.spawn_peering();
         core.spawn_jobs();
@@ -154,6 +157,7 @@
         self.metrics.set_gauges(&GaugeValues {
             running: self.running(),
             targets: dispatcher.target_count(),
+            ejected_targets: dispatcher.ejected_count(),
             live_peers: dispatcher.live_vm_count(),
             config_version: self.config_version(),
             connections_opened: self.connections.opened(),
@@ -378,6 +382,7 @@
             waiting,
             prompts: self.prompt_report(monotonic()),
             rollouts: self.rollout_news(),
+            outliers: self.dispatcher.borrow().report_outliers(monotonic()),
         }
     }
 }
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -557,7 +557,7 @@
             results_retention: Duration::from_mins(2),
             stop_timeout: Duration::from_secs(7),
             deregistration_delay: Duration::from_millis(100),
-            learns_target_speeds: false,
+            ejects_outliers: false,
             divides_fairly: false,
             rollouts: self.rollouts.get(),
             memory: crate::memory::MemorySettings::default(),
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -62,8 +62,9 @@
 };
 pub use ownership::{owner_of, ranked};
 pub use placement::{
-    BatchPreemption, DecidedWaiter, IdleConnections, PlacementOutcome, ReportedLoad, ReportedWait,
-    RequestDispatcher, ServingTarget, SlotNeed, SlotOutcome, SlotRefusal, SlotWaiter, VmReport,
+    BatchPreemption, DecidedWaiter, IdleConnections, PlacementOutcome, ReportedLoad,
+    ReportedOutlier, ReportedWait, RequestDispatcher, ServingTarget, SlotNeed, SlotOutcome,
+    SlotRefusal, SlotWaiter, VmReport,
 };
 pub use platform::http::PlatformClient;
 pub use platform::rows::{
--- a/crates/ebonydock/src/placement/dispatcher.rs
+++ b/crates/ebonydock/src/placement/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::placement::fleet_load::FleetLoad;
 use crate::placement::idle_connections::IdleConnections;
 use crate::placement::load::{ReportedLoad, ReportedWait, VmReport, service_hash};
+use crate::placement::outlier_ejection::{OutlierLedger, ReportedOutlier};
 use crate::placement::slots::{ServingTarget, SlotOutcome, TargetSlots};
 use crate::placement::wait_queue::{
     DecidedWaiter, ServiceQueue, SlotNeed, SlotRefusal, SlotWaiter,
@@ -84,6 +85,8 @@
     leaving: HashMap<IncarnationKey, Duration>,
     /// Services whose requests all go to the new version, because the old targets are drained.
     pub(crate) draining: HashSet<ServiceName>,
+    /// Targets that fail their requests; `None` if these are not taken out of use.
+    outliers: Option<OutlierLedger>,
 }
 
 /// Id, start time in Unix milliseconds, and address.
@@ -114,9 +117,39 @@
             report_age: Duration::ZERO,
             leaving: HashMap::new(),
             draining: HashSet::new(),
+            outliers: None,
         }
     }
 
+    /// Begins to take targets that fail their requests out of use.
+    pub fn eject_outliers(&mut self) {
+        self.outliers.get_or_insert_default();
+    }
+
+    /// Decides which targets are ejected for failures, and returns those that are newly ejected. Called
+    /// periodically.
+    pub fn refresh_outliers(&mut self, now: Duration) -> Vec<TargetId> {
+        let Some(outliers) = &mut self.outliers else { return Vec::new() };
+        let targets = self.targets.values().map(|slots| &slots.target);
+        let listed = targets.clone().map(|target| (&target.service, target.incarnation_hash()));
+        let ejected = outliers.refresh(now, listed);
+        let is_ejected = |target: &&ServingTarget| ejected.contains(&target.incarnation_hash());
+        if ejected.is_empty() {
+            return Vec::new();
+        }
+        targets.filter(is_ejected).map(|target| target.id.clone()).collect()
+    }
+
+    /// Returns the number of targets that are ejected for failures.
+    pub fn ejected_count(&self) -> usize {
+        self.outliers.as_ref().map_or(0, OutlierLedger::ejected_count)
+    }
+
+    /// Returns the targets at which requests of this VM failed recently, for a load report.
+    pub fn report_outliers(&self, now: Duration) -> Vec<ReportedOutlier> {
+        self.outliers.as_ref().map_or_else(Vec::new, |outliers| outliers.report(now))
+    }
+
     /// Replaces the list of targets. A target of the same incarnation keeps its load and backoff.
     pub fn set_targets(&mut self, now: Duration, listed: Vec<ServingTarget>) {
         let mut previous = std::mem::take(&mut self.targets);
@@ -195,6 +228,11 @@
     ) -> Vec<&'a (VmId, R)> {
         let new_reports = reports.iter().filter(|(vm, report)| self.fleet.observe(now, vm, report));
         let new_reports: Vec<_> = new_reports.collect();
+        if let Some(outliers) = &mut self.outliers {
+            for (vm, report) in &new_reports {
+                outliers.observe(vm, report.outliers());
+            }
+        }
         if !new_reports.is_empty() {
             self.update_reported_use();
         }
@@ -204,6 +242,11 @@
     /// Removes expired load reports and returns their VMs.
     pub fn expire_reports(&mut self, now: Duration) -> Vec<VmId> {
         let expired = self.fleet.expire(now);
+        if let Some(outliers) = &mut self.outliers {
+            for vm in &expired {
+                outliers.remove(vm);
+            }
+        }
         if !expired.is_empty() {
             self.update_reported_use();
         }
@@ -380,6 +423,7 @@
                 && slots.in_use() < slots.target.slots + max_queued(slots.target.slots)
                 && slots.is_usable(now, &self.out_of_service)
                 && !need.excluded.contains(id)
+                && !self.is_ejected(slots)
                 && !slots.cold_start.is_limited(now, capacity)
         });
         let (mut connected, mut local, mut remote) = (Vec::new(), Vec::new(), Vec::new());
@@ -408,6 +452,12 @@
         noisy.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, id)| id.clone())
     }
 
+    fn is_ejected(&self, slots: &TargetSlots) -> bool {
+        self.outliers.as_ref().is_some_and(|outliers| {
+            outliers.ejected_count() > 0 && outliers.is_ejected(slots.target.incarnation_hash())
+        })
+    }
+
     fn record_prefix(&mut self, prefix: Option<u64>, target: &TargetId) {
         let Some(prefix) = prefix else { return };
         if self.prefixes.len() >= MAX_PREFIXES && !self.prefixes.contains_key(&prefix) {
@@ -432,8 +482,20 @@
         class: RequestClass,
         outcome: SlotOutcome,
     ) {
-        if let Some(slots) = self.targets.get_mut(id) {
-            slots.release(now, class, outcome);
+        let Some(slots) = self.targets.get_mut(id) else { return };
+        slots.release(now, class, outcome);
+        // Batch items may be at fault themselves: some fail at every target.
+        if class == RequestClass::Online
+            && let Some(outliers) = &mut self.outliers
+        {
+            let target = slots.target.incarnation_hash();
+            match outcome {
+                SlotOutcome::Responded => outliers.record(now, target, false),
+                SlotOutcome::ServerError | SlotOutcome::Failed => {
+                    outliers.record(now, target, true);
+                }
+                SlotOutcome::Cancelled | SlotOutcome::Full | SlotOutcome::Misdirected => {}
+            }
         }
     }
 }
--- a/crates/ebonydock/src/placement/load.rs
+++ b/crates/ebonydock/src/placement/load.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{ServiceName, TargetId};
+use crate::placement::outlier_ejection::ReportedOutlier;
 
 /// Running requests of a VM at one target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +36,8 @@
     fn targets(&self) -> &[ReportedLoad];
     /// Waiting online requests by service; services without any are absent.
     fn waiting(&self) -> &[ReportedWait];
+    /// Targets at which requests of the VM failed recently.
+    fn outliers(&self) -> &[ReportedOutlier];
 }
 
 /// Returns the hash that identifies a target in reports.
--- a/crates/ebonydock/src/placement/mod.rs
+++ b/crates/ebonydock/src/placement/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod fleet_load;
 pub(crate) mod idle_connections;
 pub(crate) mod load;
+pub(crate) mod outlier_ejection;
 pub(crate) mod slots;
 #[cfg(test)]
 pub(crate) mod tests;
@@ -22,6 +23,7 @@
 pub use dispatcher::{PlacementOutcome, RequestDispatcher};
 pub use idle_connections::IdleConnections;
 pub use load::{ReportedLoad, ReportedWait, VmReport};
+pub use outlier_ejection::ReportedOutlier;
 pub use slots::{ServingTarget, SlotOutcome};
 pub use wait_queue::{DecidedWaiter, SlotNeed, SlotRefusal, SlotWaiter};
 
--- a/crates/ebonydock/src/placement/slots.rs
+++ b/crates/ebonydock/src/placement/slots.rs
@@ -55,6 +55,8 @@
 pub enum SlotOutcome {
     /// The target responded.
     Responded,
+    /// The target responded with a server error.
+    ServerError,
     /// The request was cancelled.
     Cancelled,
     /// The target refused because it was full.
@@ -165,7 +167,7 @@
         let count = self.count_mut(class);
         *count = count.saturating_sub(1);
         match outcome {
-            SlotOutcome::Responded => self.failures = 0,
+            SlotOutcome::Responded | SlotOutcome::ServerError => self.failures = 0,
             SlotOutcome::Cancelled => {}
             SlotOutcome::Full => self.backoff_until = now + FULL_TARGET_BACKOFF,
             SlotOutcome::Misdirected => self.misdirected = true,
--- a/crates/ebonydock/src/placement/tests/mod.rs
+++ b/crates/ebonydock/src/placement/tests/mod.rs
@@ -4,3 +4,4 @@
 mod dispatcher;
 pub(crate) mod emulator;
 mod load;
+mod outlier_ejection;
--- a/crates/ebonydock/src/rollouts/answer_track.rs
+++ b/crates/ebonydock/src/rollouts/answer_track.rs
@@ -87,7 +87,7 @@
             SlotOutcome::Responded => {
                 AnswerStage::Ended { failed: false, pace: Some(self.pace(now)) }
             }
-            SlotOutcome::Failed => ended(true),
+            SlotOutcome::ServerError | SlotOutcome::Failed => ended(true),
             // The target did not run the request.
             SlotOutcome::Full | SlotOutcome::Misdirected => ended(false),
             // The deadline has passed while the target was still at work.
