Admission: a refusal for a quota promises a token, or says plainly that there is none

Every caller refused for its quota was told to return in 50 ms, however many callers waited ahead of it, and 87 of 100 were refused again.

What is possible was reckoned first (admission::tests::limits): rate and burst 396, 6.7 times the usual mean of 138/s for 8 s, callers that follow 1.6 s. A token serves one caller; promises in order of arrival serve 634 callers more (rate x 1.6 s), and 4,964 or 2,298 callers (excess ending in a peak or in a trough) can't be served within what they follow. If returning callers can't be told from new requests, 0.81 are refused again in a peak whatever is promised.

The new module admission/ decides without I/O. Each VM promises at most its own part of the rate, so all promises add up to at most rate and burst whatever is lost (property test, 48 cases). Callers return on a new connection, so first requests of connections may take any token, others leave the promised ones, and no more is promised than the first requests without a promise leave. Promises by 50 ms are sent after the load report, only by VMs with recent refusals; reports without any are encoded as before. Active only with divides_fairly.

The quota rule holds with promises never claimed, claimed together, 20 % of the reports lost and repeated, late reports, a partition, a restart.

--- /dev/null
+++ b/crates/ebonydock/src/admission/mod.rs
@@ -0,0 +1,13 @@
+//! Decides on requests that no token of their workspace's quota is left for.
+//!
+//! Decisions without I/O. A refusal names the time at which a token will be available, and the token is kept
+//! from other requests until then ([`PromiseBook`]). VMs tell each other how many tokens they have promised
+//! for when.
+
+mod promises;
+#[cfg(test)]
+mod tests;
+
+pub use promises::{
+    PromiseBook, PromiseEvidence, PromiseRequest, PromiseState, QuotaArrival, ReportedPromises,
+};
--- /dev/null
+++ b/crates/ebonydock/src/admission/tests/mod.rs
@@ -0,0 +1,4 @@
+//! Unit tests of admission.
+
+mod limits;
+mod promises;
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::admission::ReportedPromises;
 use crate::gateway::quarantine::PartSet;
 use crate::gateway::report_routes::ReportInterest;
 use crate::ids::{VmId, WorkspaceId};
@@ -111,6 +112,10 @@
     pub waiting: Vec<ReportedWait>,
     /// Failed requests and quarantines of prompt parts; `None` if there are none.
     pub prompts: Option<Box<PromptReport>>,
+    /// Promised tokens of workspaces that requests were refused for recently. Sent after the rest of the report
+    /// if there are any, so that they cost nothing otherwise.
+    #[serde(skip)]
+    pub promises: Vec<ReportedPromises>,
 }
 
 impl VmReport for LoadReport {
@@ -148,7 +153,10 @@
 impl ReportFrame<'_> {
     /// Decodes the report.
     pub(crate) fn decode(&self) -> Result<LoadReport, postcard::Error> {
-        let mut report: LoadReport = postcard::from_bytes(self.content)?;
+        let (mut report, promises): (LoadReport, _) = postcard::take_from_bytes(self.content)?;
+        if !promises.is_empty() {
+            report.promises = postcard::from_bytes(promises)?;
+        }
         (report.incarnation, report.sequence) = (self.incarnation, self.sequence);
         Ok(report)
     }
@@ -176,8 +184,13 @@
 impl EncodedReport {
     /// Encodes the report of `vm`.
     pub(crate) fn encode(vm: &VmId, report: &LoadReport) -> Self {
-        let content = postcard::to_stdvec(report)
-            .unwrap_or_else(|error| unreachable!("reports always encode: {error}"));
+        let encoded = if report.promises.is_empty() {
+            postcard::to_stdvec(report)
+        } else {
+            postcard::to_stdvec(&(report, &report.promises))
+        };
+        let content =
+            encoded.unwrap_or_else(|error| unreachable!("reports always encode: {error}"));
         Self {
             vm: vm.clone(),
             incarnation: report.incarnation,
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::admission::PromiseState;
 use crate::gateway::forward::AdmittedRequest;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -38,6 +39,8 @@
     connections: Gauge,
     quota_subtracted: Gauge,
     quota_dropped: Gauge,
+    promises_taken_up: Gauge,
+    promises_ended: Gauge,
     quarantines: Gauge,
     dropped_messages: Gauge,
 }
@@ -55,6 +58,8 @@
             connections: Gauge::default(),
             quota_subtracted: Gauge::default(),
             quota_dropped: Gauge::default(),
+            promises_taken_up: Gauge::default(),
+            promises_ended: Gauge::default(),
             quarantines: Gauge::default(),
             dropped_messages: Gauge::default(),
         };
@@ -85,6 +90,16 @@
             "Requests of other VMs beyond the maximum debt of a quota",
             metrics.quota_dropped.clone(),
         );
+        registry.register(
+            "promises_taken_up",
+            "First requests of connections admitted while promised tokens were due",
+            metrics.promises_taken_up.clone(),
+        );
+        registry.register(
+            "promises_ended",
+            "Promises of this VM whose time to return has passed",
+            metrics.promises_ended.clone(),
+        );
         registry.register(
             "quarantines",
             "Sets of prompt parts whose requests are refused",
@@ -117,6 +132,8 @@
         self.connections.set(gauges.connections_opened as i64);
         self.quota_subtracted.set(gauges.quota_subtracted as i64);
         self.quota_dropped.set(gauges.quota_dropped as i64);
+        self.promises_taken_up.set(gauges.promises.taken_up as i64);
+        self.promises_ended.set(gauges.promises.ended as i64);
         self.quarantines.set(gauges.quarantines as i64);
         self.dropped_messages.set(gauges.dropped_messages as i64);
     }
@@ -140,6 +157,7 @@
     pub(crate) connections_opened: u64,
     pub(crate) quota_subtracted: f64,
     pub(crate) quota_dropped: f64,
+    pub(crate) promises: PromiseState,
     pub(crate) quarantines: usize,
     pub(crate) dropped_messages: u64,
 }
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -33,6 +33,10 @@
     report.targets != previous.targets
         || report.waiting != previous.waiting
         || report.quotas.iter().any(|spent| !is_known(spent))
+        || report.promises.iter().any(|promised| {
+            let mut known = previous.promises.iter();
+            !known.any(|known| known.workspace == promised.workspace && known.made == promised.made)
+        })
         || report
             .prompts
             .as_ref()
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::Notify;
 
+use crate::admission::{PromiseBook, PromiseRequest, QuotaArrival};
 use crate::clock::monotonic;
 use crate::gateway::catalog::{GatewayConfig, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
@@ -25,6 +26,7 @@
 use crate::gateway::peering::GatewayPeering;
 use crate::gateway::prompt_guard::PromptGuard;
 use crate::gateway::quota::{QuotaLedger, QuotaState};
+use crate::gateway::traces::log_promises;
 use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
 use crate::ids::{TargetId, VmId, WorkspaceId};
 use crate::placement::SlotPlacement;
@@ -35,6 +37,9 @@
 /// How often reports of other VMs and targets that did not register again are checked for expiry.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Minimum interval between log lines about promised tokens.
+const PROMISE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 pub(crate) struct GatewayCore {
     pub(crate) settings: GatewaySettings,
     pub(crate) incarnation: u64,
@@ -50,6 +55,8 @@
     connections: ConnectionPool,
     catalog: RefCell<Option<Rc<RouteCatalog>>>,
     quotas: RefCell<QuotaLedger>,
+    promises: RefCell<PromiseBook>,
+    promises_logged_at: Cell<Duration>,
     listing: RefCell<TargetListing>,
     out_of_service: RefCell<OutOfServiceListing>,
     store_clock: Cell<Option<(Duration, Duration)>>,
@@ -88,6 +95,7 @@
                 Rc::new(connections.clone()),
             )),
             jobs: JobService::open(&settings.vm),
+            promises: RefCell::new(PromiseBook::open(monotonic(), &settings.vm)),
             settings,
             incarnation,
             transport,
@@ -98,6 +106,7 @@
             connections,
             catalog: RefCell::default(),
             quotas: RefCell::new(QuotaLedger::open(monotonic())),
+            promises_logged_at: Cell::default(),
             listing: RefCell::default(),
             out_of_service: RefCell::default(),
             leases: LeaseRegistry::default(),
@@ -147,6 +156,7 @@
             connections_opened: self.connections.opened(),
             quota_subtracted,
             quota_dropped,
+            promises: self.promises.borrow().state(),
             quarantines: self.quarantine_count(),
             dropped_messages: self.peering.dropped_messages(),
         });
@@ -294,24 +304,71 @@
         if let Some(members) = self.peering.known_members() {
             let now = monotonic();
             self.quotas.borrow_mut().set_members(now, members.len());
+            self.promises.borrow_mut().set_members(&members);
             self.dispatcher.borrow_mut().set_members(now, &members);
         }
     }
 
-    /// Spends one request of a workspace's quota and returns the state of its bucket.
+    /// Spends one request of a workspace's quota and returns the state of its bucket. `max_delay` is the
+    /// longest delay that the caller follows.
     ///
     /// # Errors
     ///
-    /// Returns the state and the time until a request will be admitted if the quota is spent.
+    /// Returns the state if the quota is spent, and the time until a request will be admitted, or `None` if
+    /// there is no such time that the caller could follow.
     pub(crate) fn spend_quota(
         &self,
         workspace: &WorkspaceId,
-    ) -> Result<QuotaState, (QuotaState, Duration)> {
+        is_first_of_connection: bool,
+        max_delay: Duration,
+    ) -> Result<QuotaState, (QuotaState, Option<Duration>)> {
+        let now = monotonic();
         let mut quotas = self.quotas.borrow_mut();
-        let decision = quotas.admit(monotonic(), workspace);
+        if !self.settings.divides_fairly {
+            let decision = quotas.admit(now, workspace);
+            let state = quotas.state(workspace);
+            self.metrics.count("quota", if decision.is_ok() { "admitted" } else { "refused" });
+            return decision.map(|()| state).map_err(|retry_after| (state, Some(retry_after)));
+        }
+        let before = quotas.state(workspace);
+        if before.rate <= 0.0 {
+            self.metrics.count("quota", "admitted");
+            return Ok(before);
+        }
+        let mut promises = self.promises.borrow_mut();
+        let arrival = QuotaArrival {
+            workspace,
+            is_first_of_connection,
+            refill: before.rate * before.live_fraction,
+            burst: before.burst,
+            random: rand::random(),
+        };
+        let reserved = promises.reserved(now, &arrival);
+        let decision = quotas.admit_above(now, workspace, reserved);
         let state = quotas.state(workspace);
-        self.metrics.count("quota", if decision.is_ok() { "admitted" } else { "refused" });
-        decision.map(|()| state).map_err(|retry_after| (state, retry_after))
+        if decision.is_ok() {
+            if is_first_of_connection {
+                promises.record_admitted(now, workspace);
+            }
+            self.metrics.count("quota", "admitted");
+            return Ok(state);
+        }
+        let request = PromiseRequest {
+            workspace,
+            rate: state.rate,
+            burst: state.burst,
+            level: state.level,
+            refill: arrival.refill,
+            max_delay,
+            random: rand::random(),
+        };
+        let delay = promises.promise(now, &request);
+        if now >= self.promises_logged_at.get() + PROMISE_LOG_INTERVAL {
+            self.promises_logged_at.set(now);
+            log_promises(workspace, state, promises.evidence(now, workspace));
+        }
+        self.metrics.count("quota", if delay.is_some() { "promised" } else { "refused" });
+        Err((state, delay))
     }
 
     pub(crate) fn refund_quota(&self, workspace: &WorkspaceId) {
@@ -336,6 +393,12 @@
             quotas.observe(now, vm, report);
         }
         drop(quotas);
+        if self.settings.divides_fairly {
+            let mut promises = self.promises.borrow_mut();
+            for (vm, report) in &new_reports {
+                promises.observe(now, vm, &report.promises);
+            }
+        }
         for (vm, report) in &new_reports {
             if let Some(prompts) = &report.prompts {
                 self.apply_prompt_report(vm, report.incarnation, prompts);
@@ -354,6 +417,7 @@
             quotas: self.quotas.borrow().spent(monotonic()),
             waiting,
             prompts: self.prompt_report(monotonic()),
+            promises: self.promises.borrow().report(monotonic()),
         }
     }
 }
