Admission: recognize returning callers by the content of their requests

A returning caller was recognized by the first request of its connection, and nothing was promised where most requests open one. Promises now carry a digest of the request that was refused, and each VM promises up to its part of 0.95 of the rate.

The encoding of promises in load reports changes.

--- a/crates/ebonydock/src/admission/promises.rs
+++ b/crates/ebonydock/src/admission/promises.rs
@@ -1,9 +1,9 @@
 //! Promised tokens of workspace quotas.
 //!
 //! Each VM promises at most its own part of a workspace's rate, so the promises of all VMs never add up to
-//! more than the rate, whatever reports are lost. A returning caller sends nothing that identifies its
-//! promise, but it opens a new connection. So promised tokens are given to first requests of connections
-//! only, and no more is promised than the rate leaves after the first requests that arrive without a promise.
+//! more than the rate, whatever reports are lost. A returning caller repeats its request under a new id, so it
+//! is recognized by the [`RequestDigest`] of the content. Requests without a promise leave the promised
+//! tokens. The quota itself rests on the token buckets alone.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::RequestDigest;
 use crate::ids::{VmId, WorkspaceId};
 use crate::ownership::ranked;
 
@@ -25,35 +26,26 @@
 /// Time after which the token of a caller that has not returned is released. Callers need a round trip or
 /// two to open a connection.
 const CLAIM_TIME: Duration = Duration::from_millis(150);
-/// Fraction of the rate that is promised at most. The rest covers the error of the estimated arrivals.
+/// Time before a promise is due from which its caller may take a token. Other VMs know the time only to a slot
+/// and the age of a report.
+const EARLY_TIME: Duration = Duration::from_millis(100);
+/// Fraction of the rate that is promised at most. The rest repays what VMs spend before they hear of each other.
 const PROMISED_FRACTION: f64 = 0.95;
-/// Time constant of arrival rates, in seconds. When a peak of 4 times the rate begins, a full bucket of one
-/// second of the rate is empty after 0.3 s, and the arrivals have to be known by then.
+/// Time constant of the rate of requests without a promise, in seconds. When a peak of 4 times the rate begins,
+/// a full bucket of one second of the rate is empty after 0.3 s, and the arrivals have to be known by then.
 const ARRIVAL_SECONDS: f64 = 0.2;
-/// Time constant of the smoothed competing arrivals, in seconds. The most of them are kept, and with the
-/// shorter one chance made them a third too high.
-const SMOOTHING_SECONDS: f64 = 0.5;
-/// Time constant with which the most competing arrivals are forgotten, in seconds; a period of the traffic's
-/// peaks and troughs, because what is promised in a trough may be due in the next peak.
-const PEAK_SECONDS: f64 = 6.0;
 /// Time in which VMs do not know of each other's admissions: a report interval and the age of a report.
 const UNSEEN_TIME: Duration = Duration::from_millis(75);
 /// Largest fraction of the burst that is kept free for what VMs admit unseen.
 const MAX_CUSHION_FRACTION: f64 = 0.4;
-/// Time for which due promises are remembered, to tell returning callers from other arrivals.
-const DUE_MEMORY: Duration = Duration::from_millis(1500);
-/// Time for which a VM reports a workspace after a refusal.
-const LISTING_TIME: Duration = Duration::from_secs(1);
-/// Time after which the reported arrivals of a VM expire; the same as for load reports.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
-/// Time ahead for which tokens are promised at the first refusal, and by how much it grows per second of
-/// refusals. The arrivals of a peak are not known yet when it begins.
-const FIRST_LEAD: Duration = Duration::from_millis(250);
-const LEAD_GROWTH: u32 = 2;
 /// Time after which an unused workspace is removed.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 /// Number of workspaces that a VM promises tokens of at the same time, which bounds the size of reports.
 const MAX_WORKSPACES: usize = 4;
+/// Number of digests in a report over all workspaces, of the promises that are due first. With up to 400
+/// promises of a VM per second they are reported at least 100 ms before they are due, which is longer than the
+/// age of a report.
+const MAX_DIGESTS: usize = 40;
 
 /// Promises of a VM for one workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,10 +54,10 @@
     pub workspace: u32,
     /// Number of promises of the VM's incarnation.
     pub made: u32,
-    /// First requests of connections, in tenths of a request per second.
-    pub arrival_tenths_per_s: u16,
     /// Promises that are not due yet: the time until they are, in units of 50 ms, and their number.
     pub due: Vec<(u8, u8)>,
+    /// Digests of the first of these promises, in the order of `due`.
+    pub digests: Vec<RequestDigest>,
 }
 
 /// A refused request that asks for a promise.
@@ -73,6 +65,8 @@
 pub struct PromiseRequest<'a> {
     /// Workspace of the request.
     pub workspace: &'a WorkspaceId,
+    /// Digest of the request, by which the returning caller is recognized.
+    pub digest: RequestDigest,
     /// Quota in requests per second over all VMs.
     pub rate: f64,
     /// Bucket size of the quota, in requests.
@@ -92,8 +86,8 @@
 pub struct QuotaArrival<'a> {
     /// Workspace of the request.
     pub workspace: &'a WorkspaceId,
-    /// Whether it is the first request of its connection, as that of a returning caller is.
-    pub is_first_of_connection: bool,
+    /// Digest of the request; `None` if no promises of the workspace are outstanding.
+    pub digest: Option<RequestDigest>,
     /// Rate at which the VM's bucket is refilled, in requests per second.
     pub refill: f64,
     /// Bucket size of the quota, in requests.
@@ -107,9 +101,9 @@
 pub struct PromiseState {
     /// Promises of this VM.
     pub made: u64,
-    /// First requests of connections that this VM admitted while promises of any VM were due.
+    /// Returning callers that this VM admitted for a promise of any VM.
     pub taken_up: u64,
-    /// Promises of this VM whose time to return has passed, taken up or not.
+    /// Promises of this VM whose time to return has passed, and those that it took up itself.
     pub ended: u64,
     /// Refused requests that no promise was made to.
     pub plain: u64,
@@ -118,8 +112,6 @@
 /// What promises of a workspace are decided on, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct PromiseEvidence {
-    /// First requests of connections without a promise over all VMs, per second; the most of the last seconds.
-    pub competing_per_s: f64,
     /// Promises of all VMs that are not due yet.
     pub outstanding: u32,
     /// Promises of this VM for the workspace.
@@ -144,38 +136,43 @@
     }
 }
 
+/// Promise that its caller may claim.
+#[derive(Clone, Copy, Debug)]
+struct OpenPromise {
+    due: Duration,
+    digest: RequestDigest,
+}
+
+impl OpenPromise {
+    fn is_claimable(&self, now: Duration, digest: RequestDigest) -> bool {
+        self.digest == digest && self.due <= now + EARLY_TIME && now <= self.due + CLAIM_TIME
+    }
+}
+
 /// Last report of another VM on a workspace.
 #[derive(Debug, Default)]
 struct PeerPromises {
-    arrivals: ArrivalRate,
-    reported_at: Duration,
     /// Time slots of its promises, and their numbers.
     due: Vec<(u64, u32)>,
+    /// Its promises of which the digests are known.
+    open: Vec<OpenPromise>,
 }
 
 /// Promises of all VMs for one workspace, as far as this VM knows them.
 #[derive(Debug, Default)]
 struct WorkspacePromises {
-    /// First requests of connections at this VM.
-    arrivals: ArrivalRate,
-    /// Other requests at this VM.
+    /// Requests without a promise at this VM.
     others: ArrivalRate,
-    /// First requests of connections without a promise, per second: smoothed, the most of them lately, and
-    /// when they were reckoned.
-    competing: f64,
-    most_competing: f64,
-    reckoned_at: Duration,
     /// Earliest time of this VM's next promise.
     next_due: Duration,
-    /// Times of this VM's promises.
-    own: VecDeque<Duration>,
+    /// This VM's promises in the order of their times.
+    own: VecDeque<OpenPromise>,
     made: u32,
-    /// Start of the present refusals, and the last one.
-    refusing_since: Duration,
-    refused_at: Option<Duration>,
     used_at: Duration,
     peers: FxHashMap<VmId, PeerPromises>,
-    /// Promises of all VMs by time slot. Those that are due stay for `DUE_MEMORY`.
+    /// Promises of other VMs that this VM admitted the callers of. Later reports may still list them.
+    taken: Vec<OpenPromise>,
+    /// Number of promises of all VMs by time slot.
     fleet: BTreeMap<u64, u32>,
 }
 
@@ -193,18 +190,44 @@
 
 impl WorkspacePromises {
     fn forget_past(&mut self, now: Duration) -> u64 {
-        let oldest = slot_of(now.saturating_sub(DUE_MEMORY));
+        let oldest = slot_of(now.saturating_sub(CLAIM_TIME + SLOT));
         while self.fleet.first_key_value().is_some_and(|(slot, _)| *slot < oldest) {
             self.fleet.pop_first();
         }
+        self.taken.retain(|taken| now <= taken.due + CLAIM_TIME);
         let mut ended = 0;
-        while self.own.front().is_some_and(|due| *due + CLAIM_TIME <= now) {
+        while self.own.front().is_some_and(|promise| promise.due + CLAIM_TIME <= now) {
             self.own.pop_front();
             ended += 1;
         }
         ended
     }
 
+    /// Returns whether a request with this digest may take a promised token.
+    fn is_claimable(&self, now: Duration, digest: RequestDigest) -> bool {
+        let open = self.own.iter().chain(self.peers.values().flat_map(|peer| &peer.open));
+        open.into_iter().any(|promise| promise.is_claimable(now, digest))
+    }
+
+    /// Removes the promise of an admitted caller and returns which VM made it.
+    fn take_up(&mut self, now: Duration, digest: RequestDigest) -> Option<PromiseOrigin> {
+        let is_claimed = |promise: &OpenPromise| promise.is_claimable(now, digest);
+        let (promise, origin) = if let Some(index) = self.own.iter().position(is_claimed) {
+            (self.own.remove(index)?, PromiseOrigin::Local)
+        } else {
+            let promise = self.peers.values_mut().find_map(|peer| {
+                let index = peer.open.iter().position(is_claimed)?;
+                Some(peer.open.swap_remove(index))
+            })?;
+            self.taken.push(promise);
+            (promise, PromiseOrigin::Peer)
+        };
+        if let Some(count) = self.fleet.get_mut(&slot_of(promise.due)) {
+            *count = count.saturating_sub(1);
+        }
+        Some(origin)
+    }
+
     /// Returns how many tokens requests without a promise must leave in the bucket, so that with `refill`
     /// tokens per second each promised token is there when it is due.
     fn reserved(&self, now: Duration, refill: f64) -> f64 {
@@ -224,40 +247,6 @@
         unseen.min(burst * MAX_CUSHION_FRACTION)
     }
 
-    /// Returns the rate of callers with a promise that are due to return, over all VMs.
-    fn returning_per_s(&self, now: Duration) -> f64 {
-        let due = self.fleet.range(..slot_of(now));
-        let rates = due.map(|(slot, count)| {
-            let age = now.saturating_sub(slot_start(*slot) + SLOT).as_secs_f64();
-            f64::from(*count) / ARRIVAL_SECONDS * (-age / ARRIVAL_SECONDS).exp()
-        });
-        rates.sum()
-    }
-
-    /// Returns the rate of first requests of connections without a promise over all VMs, and whether most VMs
-    /// have reported theirs. The others are assumed to get as many as the mean of those that have.
-    fn competing_per_s(&self, now: Duration, vms: usize) -> (f64, bool) {
-        let is_current = |peer: &&PeerPromises| now <= peer.reported_at + REPORT_LIFETIME;
-        let reports = self.peers.values().filter(is_current).map(|peer| peer.arrivals.get(now));
-        let (count, reported) = reports.fold((0_usize, 0.0), |(n, sum), next| (n + 1, sum + next));
-        let known = count + 1;
-        let all = (self.arrivals.get(now) + reported) * vms.max(known) as f64 / known as f64;
-        ((all - self.returning_per_s(now)).max(0.0), 2 * known >= vms)
-    }
-
-    /// Updates and returns the most competing arrivals.
-    fn most_competing_per_s(&mut self, now: Duration, vms: usize) -> f64 {
-        let elapsed = now.saturating_sub(self.reckoned_at).as_secs_f64();
-        self.reckoned_at = now;
-        let kept = self.most_competing * (-elapsed / PEAK_SECONDS).exp();
-        let (competing, is_known) = self.competing_per_s(now, vms);
-        let weight = 1.0 - (-elapsed / SMOOTHING_SECONDS).exp();
-        self.competing += weight * (competing - self.competing);
-        // An estimate from few VMs is not kept, because chance would make it too high.
-        self.most_competing = if is_known { kept.max(self.competing) } else { kept };
-        self.most_competing.max(competing)
-    }
-
     fn add(&mut self, slot: u64, count: u32) {
         *self.fleet.entry(slot).or_default() += count;
     }
@@ -270,13 +259,24 @@
         let due = report
             .due
             .iter()
-            .map(|(ahead, count)| (slot_of(now + SLOT * u32::from(*ahead)), u32::from(*count)));
+            .map(|(ahead, count)| (now + SLOT * u32::from(*ahead), u32::from(*count)));
+        let due: Vec<_> = due.collect();
+        let times = due.iter().flat_map(|(at, count)| std::iter::repeat_n(*at, *count as usize));
+        let listed = times.zip(&report.digests);
+        let listed = listed.map(|(due, digest)| OpenPromise { due, digest: *digest });
+        let is_taken =
+            |open: &OpenPromise| self.taken.iter().any(|taken| taken.digest == open.digest);
+        // A promise that has become due at its VM is no longer listed, but its caller may be under way.
+        peer.open.retain(|open| {
+            open.due <= now + EARLY_TIME
+                && now <= open.due + CLAIM_TIME
+                && !report.digests.contains(&open.digest)
+        });
+        peer.open.extend(listed.filter(|open| !is_taken(open)));
+        let due = due.into_iter().map(|(at, count)| (slot_of(at), count));
         let due = due.filter(|(slot, _)| *slot > current).collect();
         let previous = std::mem::replace(&mut peer.due, due);
         let added = peer.due.clone();
-        peer.arrivals =
-            ArrivalRate { per_s: f64::from(report.arrival_tenths_per_s) / 10.0, at: now };
-        peer.reported_at = now;
         for (slot, count) in previous.into_iter().filter(|(slot, _)| *slot > current) {
             if let Some(sum) = self.fleet.get_mut(&slot) {
                 *sum = sum.saturating_sub(count);
@@ -288,6 +288,13 @@
     }
 }
 
+/// VM that made a promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PromiseOrigin {
+    Local,
+    Peer,
+}
+
 /// Promised tokens of all workspaces, as far as one VM knows them.
 #[derive(Debug)]
 pub struct PromiseBook {
@@ -329,7 +336,15 @@
         promises
     }
 
-    /// Records a request and returns how many tokens it must leave in the bucket for others.
+    /// Returns whether promises of a workspace are outstanding, so that arrivals have to be compared with them.
+    pub fn is_promising(&self, now: Duration, workspace: &WorkspaceId) -> bool {
+        let oldest = slot_of(now.saturating_sub(CLAIM_TIME + SLOT));
+        let promises = self.workspaces.get(&workspace_hash(workspace));
+        promises.is_some_and(|promises| promises.fleet.range(oldest..).any(|(_, count)| *count > 0))
+    }
+
+    /// Records a request and returns how many tokens it must leave in the bucket for others: none if its
+    /// caller returns for a promise.
     ///
     /// VMs that see the same tokens may spend them together before they hear of each other. So while promises
     /// are outstanding, some tokens more are kept, at random up to what may be spent unseen: the fuller the
@@ -337,8 +352,7 @@
     pub fn reserved(&mut self, now: Duration, arrival: &QuotaArrival<'_>) -> f64 {
         let vms = self.members.len();
         let promises = self.workspace(now, arrival.workspace);
-        if arrival.is_first_of_connection {
-            promises.arrivals.add(now);
+        if arrival.digest.is_some_and(|digest| promises.is_claimable(now, digest)) {
             return 0.0;
         }
         promises.others.add(now);
@@ -349,12 +363,12 @@
         reserved + arrival.random * promises.unseen(now, vms, arrival.burst)
     }
 
-    /// Records that the first request of a connection was admitted.
-    pub fn record_admitted(&mut self, now: Duration, workspace: &WorkspaceId) {
-        let claimable = slot_of(now.saturating_sub(CLAIM_TIME))..=slot_of(now);
-        let promises = self.workspace(now, workspace);
-        let is_due = promises.fleet.range(claimable).any(|(_, count)| *count > 0);
-        self.state.taken_up += u64::from(is_due);
+    /// Records that a request was admitted, which takes up its promise if it has one.
+    pub fn record_admitted(&mut self, now: Duration, arrival: &QuotaArrival<'_>) {
+        let Some(digest) = arrival.digest else { return };
+        let origin = self.workspace(now, arrival.workspace).take_up(now, digest);
+        self.state.taken_up += u64::from(origin.is_some());
+        self.state.ended += u64::from(origin == Some(PromiseOrigin::Local));
     }
 
     /// Returns the fraction of a workspace's rate that this VM promises. With more VMs than the bucket has
@@ -395,19 +409,13 @@
         let is_listed = busy.count() < MAX_WORKSPACES;
         let opened_at = self.opened_at;
         let promises = self.workspace(now, request.workspace);
-        if promises.refused_at.is_none_or(|at| now > at + LISTING_TIME) {
-            promises.refusing_since = now;
-        }
-        promises.refused_at = Some(now);
-        let max_lead = FIRST_LEAD + now.saturating_sub(promises.refusing_since) * LEAD_GROWTH;
-        let max_lead = max_lead.min(MAX_LEAD).min(request.max_delay);
-        let left = request.rate * PROMISED_FRACTION - promises.most_competing_per_s(now, vms);
-        let rate = left * share;
+        let max_lead = MAX_LEAD.min(request.max_delay);
+        let rate = request.rate * PROMISED_FRACTION * share;
         if rate <= 0.0 || !is_listed {
             return None;
         }
         let interval = Duration::try_from_secs_f64(1.0 / rate).ok()?;
-        let is_first = promises.fleet.is_empty();
+        let is_first = promises.own.is_empty();
         let unseen = if is_first { promises.unseen(now, vms, request.burst) } else { 0.0 };
         let debt = (unseen - request.level).max(0.0) / request.refill;
         let mut due = now + MIN_LEAD + Duration::try_from_secs_f64(debt).ok()?;
@@ -423,7 +431,7 @@
             return None;
         }
         promises.next_due = due + interval;
-        promises.own.push_back(due);
+        promises.own.push_back(OpenPromise { due, digest: request.digest });
         promises.made += 1;
         promises.add(slot_of(due), 1);
         Some(due.saturating_sub(now))
@@ -436,30 +444,31 @@
         }
     }
 
-    /// Returns this VM's promises of the workspaces that it refused requests of recently.
+    /// Returns this VM's promises that are not due yet.
     pub fn report(&self, now: Duration) -> Vec<ReportedPromises> {
         let is_listed = |promises: &WorkspacePromises| {
-            promises.refused_at.is_some_and(|at| now <= at + LISTING_TIME)
-                || promises.own.back().is_some_and(|due| *due > now)
+            promises.own.back().is_some_and(|promise| promise.due > now)
         };
         let mut listed: Vec<_> =
             self.workspaces.iter().filter(|(_, promises)| is_listed(promises)).collect();
         listed.sort_by_key(|(_, promises)| std::cmp::Reverse(promises.own.len()));
-        let listed = listed.into_iter().take(MAX_WORKSPACES);
-        let reports = listed.map(|(workspace, promises)| {
+        listed.truncate(MAX_WORKSPACES);
+        let digests = MAX_DIGESTS / listed.len().max(1);
+        let reports = listed.into_iter().map(|(workspace, promises)| {
             let mut due: Vec<(u8, u8)> = Vec::new();
-            for at in promises.own.iter().filter(|at| **at > now) {
-                let ahead = slot_of(at.saturating_sub(now)) as u8;
-                match due.last_mut().filter(|last| last.0 == ahead) {
-                    Some(last) => last.1 = last.1.saturating_add(1),
+            let open = promises.own.iter().filter(|promise| promise.due > now);
+            for promise in open.clone() {
+                let ahead = slot_of(promise.due.saturating_sub(now)) as u8;
+                match due.last_mut().filter(|last| last.0 == ahead && last.1 < u8::MAX) {
+                    Some(last) => last.1 += 1,
                     None => due.push((ahead, 1)),
                 }
             }
             ReportedPromises {
                 workspace: *workspace,
                 made: promises.made,
-                arrival_tenths_per_s: (promises.arrivals.get(now) * 10.0).round() as u16,
                 due,
+                digests: open.take(digests).map(|promise| promise.digest).collect(),
             }
         });
         reports.collect()
@@ -469,7 +478,6 @@
     pub fn evidence(&self, now: Duration, workspace: &WorkspaceId) -> PromiseEvidence {
         let promises = self.workspaces.get(&workspace_hash(workspace));
         promises.map_or_else(PromiseEvidence::default, |promises| PromiseEvidence {
-            competing_per_s: promises.most_competing,
             outstanding: promises.fleet.range(slot_of(now)..).map(|(_, count)| count).sum(),
             made: promises.made,
         })
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -230,8 +230,7 @@
             .map_or(found.route.timeout, |timeout| timeout.min(found.route.timeout));
         let time_left = (request.received_at + limit).saturating_sub(monotonic());
         let max_delay = time_left.mul_f64(MAX_RETRY_AFTER_FRACTION);
-        let is_first = request.is_first_of_connection;
-        let spend = |workspace| self.spend_quota(workspace, is_first, max_delay);
+        let spend = |workspace| self.spend_quota(workspace, &request, max_delay);
         let quota = workspace.as_ref().map(spend).transpose();
         let quota = quota.map_err(|(state, retry_after)| {
             log_over_quota(&request.id, workspace.as_ref(), state);
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -415,7 +415,6 @@
                 received_at: monotonic(),
                 demand: Some(item.demand.clone()),
                 last_event: None,
-                is_first_of_connection: false,
             },
             route: std::sync::Arc::clone(route),
             service,
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -108,7 +108,7 @@
         );
         registry.register(
             "promises_taken_up",
-            "First requests of connections admitted while promised tokens were due",
+            "Returning callers admitted for a promise of any VM",
             metrics.promises_taken_up.clone(),
         );
         registry.register(
--- a/crates/ebonydock/src/gateway/request.rs
+++ b/crates/ebonydock/src/gateway/request.rs
@@ -70,6 +70,4 @@
     pub demand: Option<TokenDemand>,
     /// The id of the last event that the caller already received.
     pub last_event: Option<u64>,
-    /// Whether it is the first request of its connection, as that of a returning caller is.
-    pub is_first_of_connection: bool,
 }
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -10,7 +10,7 @@
 
 use tokio::sync::Notify;
 
-use crate::admission::{PromiseBook, PromiseRequest, QuotaArrival};
+use crate::admission::{PromiseBook, PromiseRequest, QuotaArrival, RequestDigest};
 use crate::clock::monotonic;
 use crate::gateway::catalog::{GatewayConfig, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
@@ -26,6 +26,7 @@
 use crate::gateway::peering::GatewayPeering;
 use crate::gateway::prompt_guard::PromptGuard;
 use crate::gateway::quota::{QuotaLedger, QuotaState};
+use crate::gateway::request::ForwardedRequest;
 use crate::gateway::traces::log_promises;
 use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
 use crate::ids::{TargetId, VmId, WorkspaceId};
@@ -337,7 +338,7 @@
     pub(crate) fn spend_quota(
         &self,
         workspace: &WorkspaceId,
-        is_first_of_connection: bool,
+        request: &ForwardedRequest,
         max_delay: Duration,
     ) -> Result<QuotaState, (QuotaState, Option<Duration>)> {
         let now = monotonic();
@@ -354,9 +355,10 @@
             return Ok(before);
         }
         let mut promises = self.promises.borrow_mut();
+        let is_promising = promises.is_promising(now, workspace);
         let arrival = QuotaArrival {
             workspace,
-            is_first_of_connection,
+            digest: is_promising.then(|| RequestDigest::of(request)),
             refill: before.rate * before.live_fraction,
             burst: before.burst,
             random: rand::random(),
@@ -365,14 +367,13 @@
         let decision = quotas.admit_above(now, workspace, reserved);
         let state = quotas.state(workspace);
         if decision.is_ok() {
-            if is_first_of_connection {
-                promises.record_admitted(now, workspace);
-            }
+            promises.record_admitted(now, &arrival);
             self.metrics.count("quota", "admitted");
             return Ok(state);
         }
         let request = PromiseRequest {
             workspace,
+            digest: arrival.digest.unwrap_or_else(|| RequestDigest::of(request)),
             rate: state.rate,
             burst: state.burst,
             level: state.level,
--- a/crates/ebonydock/src/gateway/traces.rs
+++ b/crates/ebonydock/src/gateway/traces.rs
@@ -40,7 +40,7 @@
     log::info!(
         workspace = workspace.as_str(), rate = quota.rate, level = hundredths(quota.level),
         live_fraction = hundredths(quota.live_fraction), made = evidence.made,
-        outstanding = evidence.outstanding, competing_per_s = hundredths(evidence.competing_per_s);
+        outstanding = evidence.outstanding;
         "tokens promised"
     );
 }
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -29,6 +29,7 @@
 
 pub use admission::{
     PromiseBook, PromiseEvidence, PromiseRequest, PromiseState, QuotaArrival, ReportedPromises,
+    RequestDigest,
 };
 pub use clock::{monotonic, unix_seconds};
 pub use configuration::{
