--- a/crates/ebonydock/src/configuration/document.rs
+++ b/crates/ebonydock/src/configuration/document.rs
@@ -21,11 +21,6 @@
     pub fn of(key: &str) -> Self {
         Self(Sha256::digest(key.as_bytes()).into())
     }
-
-    /// Returns the bytes of the hash.
-    pub(crate) fn as_bytes(&self) -> &[u8] {
-        &self.0
-    }
 }
 
 /// Formats bytes as lowercase hexadecimal digits.
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -231,17 +231,14 @@
         let service = RouteCatalog::pick_service(found.route, rand::random());
         let service = service.ok_or(GatewayRefusal::of(RefusalReason::NoTarget))?.clone();
         let workspace = found.workspace.map(|workspace| workspace.name.clone());
-        let limit = request
-            .caller_timeout
-            .map_or(found.route.timeout, |timeout| timeout.min(found.route.timeout));
-        let time_left = (request.received_at + limit).saturating_sub(monotonic());
-        let max_delay = time_left.mul_f64(MAX_RETRY_AFTER_FRACTION);
-        let spend = |workspace| self.spend_quota(workspace, &request, max_delay);
-        let quota = workspace.as_ref().map(spend).transpose();
+        let quota = workspace.as_ref().map(|workspace| self.spend_quota(workspace)).transpose();
         let quota = quota.map_err(|(state, retry_after)| {
             log_over_quota(&request.id, workspace.as_ref(), state);
-            GatewayRefusal { reason: RefusalReason::OverQuota, retry_after }
+            GatewayRefusal { reason: RefusalReason::OverQuota, retry_after: Some(retry_after) }
         })?;
+        let limit = request
+            .caller_timeout
+            .map_or(found.route.timeout, |timeout| timeout.min(found.route.timeout));
         Ok(AdmittedRequest {
             ends_at: request.received_at + limit,
             order: request.received_at,
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -49,8 +49,6 @@
     /// Whether targets that fail their requests are taken out of use on evidence from all VMs. Otherwise only
     /// targets that cannot be reached are.
     pub ejects_outliers: bool,
-    /// Whether scarce capacity is divided among workspaces, and refusals name a time at which there is room.
-    pub divides_fairly: bool,
     /// Bounds of roll-outs of versions; `None` if versions of targets make no difference.
     pub rollouts: Option<RolloutSettings>,
     /// Limits of what the VM holds for callers and targets.
--- a/crates/ebonydock/src/gateway/load.rs
+++ b/crates/ebonydock/src/gateway/load.rs
@@ -5,7 +5,6 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::admission::ReportedPromises;
 use crate::gateway::quarantine::PartSet;
 use crate::gateway::report_routes::ReportInterest;
 use crate::ids::{VmId, WorkspaceId};
@@ -121,10 +120,6 @@
     /// Targets at which requests of the VM failed recently. Sent as one of the [`ReportExtras`].
     #[serde(skip)]
     pub outliers: Vec<ReportedOutlier>,
-    /// Promised tokens of workspaces that requests were refused for recently. One of the
-    /// [`ReportExtras`].
-    #[serde(skip)]
-    pub promises: Vec<ReportedPromises>,
 }
 
 impl VmReport for LoadReport {
@@ -155,12 +150,11 @@
 struct ReportExtras<'a> {
     rollouts: Option<Cow<'a, Box<RolloutNews>>>,
     outliers: Cow<'a, [ReportedOutlier]>,
-    promises: Cow<'a, [ReportedPromises]>,
 }
 
 impl ReportExtras<'_> {
     fn is_empty(&self) -> bool {
-        self.rollouts.is_none() && self.outliers.is_empty() && self.promises.is_empty()
+        self.rollouts.is_none() && self.outliers.is_empty()
     }
 }
 
@@ -186,7 +180,6 @@
             let extras: ReportExtras<'_> = postcard::from_bytes(rest)?;
             report.rollouts = extras.rollouts.map(Cow::into_owned);
             report.outliers = extras.outliers.into_owned();
-            report.promises = extras.promises.into_owned();
         }
         (report.incarnation, report.sequence) = (self.incarnation, self.sequence);
         Ok(report)
@@ -220,7 +213,6 @@
         let extras = ReportExtras {
             rollouts: report.rollouts.as_ref().map(Cow::Borrowed),
             outliers: Cow::Borrowed(&report.outliers),
-            promises: Cow::Borrowed(&report.promises),
         };
         if !extras.is_empty() {
             content.extend(postcard::to_stdvec(&extras).unwrap_or_else(failed));
--- a/crates/ebonydock/src/gateway/metrics.rs
+++ b/crates/ebonydock/src/gateway/metrics.rs
@@ -11,7 +11,6 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
-use crate::admission::PromiseState;
 use crate::gateway::forward::AdmittedRequest;
 use crate::ids::{ServiceName, VersionName};
 use crate::memory::{MemoryKind, MemoryLedger};
@@ -56,8 +55,6 @@
     connections: Gauge,
     quota_subtracted: Gauge,
     quota_dropped: Gauge,
-    promises_taken_up: Gauge,
-    promises_ended: Gauge,
     quarantines: Gauge,
     dropped_messages: Gauge,
     version_answers: Family<VersionLabels, Counter>,
@@ -82,8 +79,6 @@
             connections: Gauge::default(),
             quota_subtracted: Gauge::default(),
             quota_dropped: Gauge::default(),
-            promises_taken_up: Gauge::default(),
-            promises_ended: Gauge::default(),
             quarantines: Gauge::default(),
             dropped_messages: Gauge::default(),
             version_answers: Family::default(),
@@ -120,16 +115,6 @@
             "Requests of other VMs beyond the maximum debt of a quota",
             metrics.quota_dropped.clone(),
         );
-        registry.register(
-            "promises_taken_up",
-            "Returning callers admitted for a promise of any VM",
-            metrics.promises_taken_up.clone(),
-        );
-        registry.register(
-            "promises_ended",
-            "Promises of this VM whose time to return has passed",
-            metrics.promises_ended.clone(),
-        );
         registry.register(
             "quarantines",
             "Sets of prompt parts whose requests are refused",
@@ -141,50 +126,42 @@
             metrics.dropped_messages.clone(),
         );
         registry.register(
-            "targets_ejected",
-            "Targets that get no requests because their requests fail",
-            metrics.ejected_targets.clone(),
-        );
-        metrics.register_versions();
-        metrics.register_memory();
-        metrics
-    }
-
-    fn register_versions(&mut self) {
-        self.registry.register(
             "version_answers",
             "Requests that ended at targets, by version; only where roll-outs are enabled",
-            self.version_answers.clone(),
+            metrics.version_answers.clone(),
         );
-        self.registry.register(
+        registry.register(
             "version_failures",
             "Failed ones among them",
-            self.version_failures.clone(),
+            metrics.version_failures.clone(),
         );
-        self.registry.register(
+        registry.register(
             "rollout_share",
             "Share of a service's requests that the version of its last roll-out gets",
-            self.rollout_share.clone(),
+            metrics.rollout_share.clone(),
         );
-    }
-
-    fn register_memory(&mut self) {
-        self.registry.register_with_unit(
+        registry.register(
+            "targets_ejected",
+            "Targets that get no requests because their requests fail",
+            metrics.ejected_targets.clone(),
+        );
+        registry.register_with_unit(
             "memory_held",
             "Memory held for callers and targets",
             Unit::Bytes,
-            self.memory_held.clone(),
+            metrics.memory_held.clone(),
         );
-        self.registry.register(
+        registry.register(
             "memory_refused",
             "Allocations that were refused for lack of memory",
-            self.memory_refused.clone(),
+            metrics.memory_refused.clone(),
         );
-        self.registry.register(
+        registry.register(
             "memory_reclaimed",
             "Slow bodies that lost their allocation to others",
-            self.memory_reclaimed.clone(),
+            metrics.memory_reclaimed.clone(),
         );
+        metrics
     }
 
     pub(crate) fn count(&self, what: &'static str, outcome: &str) {
@@ -229,8 +206,6 @@
         self.connections.set(gauges.connections_opened as i64);
         self.quota_subtracted.set(gauges.quota_subtracted as i64);
         self.quota_dropped.set(gauges.quota_dropped as i64);
-        self.promises_taken_up.set(gauges.promises.taken_up as i64);
-        self.promises_ended.set(gauges.promises.ended as i64);
         self.quarantines.set(gauges.quarantines as i64);
         self.dropped_messages.set(gauges.dropped_messages as i64);
         for kind in MemoryKind::ALL {
@@ -261,7 +236,6 @@
     pub(crate) connections_opened: u64,
     pub(crate) quota_subtracted: f64,
     pub(crate) quota_dropped: f64,
-    pub(crate) promises: PromiseState,
     pub(crate) quarantines: usize,
     pub(crate) dropped_messages: u64,
     pub(crate) memory: &'a MemoryLedger,
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -24,7 +24,7 @@
 mod job_records;
 mod job_service;
 mod leases;
-pub(crate) mod load;
+mod load;
 mod logs;
 mod member_entry;
 mod member_publication;
--- a/crates/ebonydock/src/gateway/quota.rs
+++ b/crates/ebonydock/src/gateway/quota.rs
@@ -273,29 +273,15 @@
     ///
     /// Returns the time until a token will be available if the bucket is empty.
     pub fn admit(&mut self, now: Duration, workspace: &WorkspaceId) -> Result<(), Duration> {
-        self.admit_above(now, workspace, 0.0)
-    }
-
-    /// Acquires one token of a workspace's bucket if `reserved` others are left.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time until a token will be available if there are fewer.
-    pub(crate) fn admit_above(
-        &mut self,
-        now: Duration,
-        workspace: &WorkspaceId,
-        reserved: f64,
-    ) -> Result<(), Duration> {
         self.detect_silence(now);
         let live_fraction = self.live_fraction();
         let bucket = self.refilled_bucket(now, workspace);
         if bucket.rate <= 0.0 {
             return Ok(());
         }
-        if bucket.level < 1.0 + reserved {
+        if bucket.level < 1.0 {
             let refill = bucket.rate * live_fraction;
-            let wait = Duration::try_from_secs_f64((1.0 + reserved - bucket.level) / refill);
+            let wait = Duration::try_from_secs_f64((1.0 - bucket.level) / refill);
             let wait = wait.unwrap_or(MAX_RETRY_AFTER);
             return Err(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER));
         }
--- a/crates/ebonydock/src/gateway/report_exchange.rs
+++ b/crates/ebonydock/src/gateway/report_exchange.rs
@@ -35,10 +35,6 @@
         || report.rollouts != previous.rollouts
         || report.outliers != previous.outliers
         || report.quotas.iter().any(|spent| !is_known(spent))
-        || report.promises.iter().any(|promised| {
-            let mut known = previous.promises.iter();
-            !known.any(|known| known.workspace == promised.workspace && known.made == promised.made)
-        })
         || report
             .prompts
             .as_ref()
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -10,7 +10,6 @@
 
 use tokio::sync::Notify;
 
-use crate::admission::{PromiseBook, PromiseRequest, QuotaArrival, RequestDigest};
 use crate::clock::monotonic;
 use crate::gateway::catalog::{GatewayConfig, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
@@ -26,8 +25,6 @@
 use crate::gateway::peering::GatewayPeering;
 use crate::gateway::prompt_guard::PromptGuard;
 use crate::gateway::quota::{QuotaLedger, QuotaState};
-use crate::gateway::request::ForwardedRequest;
-use crate::gateway::traces::log_promises;
 use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
 use crate::ids::{TargetId, VmId, WorkspaceId};
 use crate::memory::MemoryLedger;
@@ -41,9 +38,6 @@
 /// How often reports of other VMs and targets that did not register again are checked for expiry.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Minimum interval between log lines about promised tokens.
-const PROMISE_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 pub(crate) struct GatewayCore {
     pub(crate) settings: GatewaySettings,
     pub(crate) incarnation: u64,
@@ -62,8 +56,6 @@
     connections: ConnectionPool,
     catalog: RefCell<Option<Rc<RouteCatalog>>>,
     quotas: RefCell<QuotaLedger>,
-    promises: RefCell<PromiseBook>,
-    promises_logged_at: Cell<Duration>,
     listing: RefCell<TargetListing>,
     out_of_service: RefCell<OutOfServiceListing>,
     store_clock: Cell<Option<(Duration, Duration)>>,
@@ -107,7 +99,6 @@
                 Rc::new(RolloutService::open(bounds, local))
             }),
             memory: MemoryLedger::open(settings.memory.clone()),
-            promises: RefCell::new(PromiseBook::open(monotonic(), &settings.vm)),
             settings,
             incarnation,
             transport,
@@ -118,7 +109,6 @@
             connections,
             catalog: RefCell::default(),
             quotas: RefCell::new(QuotaLedger::open(monotonic())),
-            promises_logged_at: Cell::default(),
             listing: RefCell::default(),
             out_of_service: RefCell::default(),
             leases: LeaseRegistry::default(),
@@ -173,7 +163,6 @@
             connections_opened: self.connections.opened(),
             quota_subtracted,
             quota_dropped,
-            promises: self.promises.borrow().state(),
             quarantines: self.quarantine_count(),
             dropped_messages: self.peering.dropped_messages(),
             memory: &self.memory,
@@ -331,71 +320,24 @@
         if let Some(members) = self.peering.known_members() {
             let now = monotonic();
             self.quotas.borrow_mut().set_members(now, members.len());
-            self.promises.borrow_mut().set_members(&members);
             self.dispatcher.borrow_mut().set_members(now, &members);
         }
     }
 
-    /// Spends one request of a workspace's quota and returns the state of its bucket. `max_delay` is the
-    /// longest delay that the caller follows.
+    /// Spends one request of a workspace's quota and returns the state of its bucket.
     ///
     /// # Errors
     ///
-    /// Returns the state if the quota is spent, and the time until a request will be admitted, or `None` if
-    /// there is no such time that the caller could follow.
+    /// Returns the state and the time until a request will be admitted if the quota is spent.
     pub(crate) fn spend_quota(
         &self,
         workspace: &WorkspaceId,
-        request: &ForwardedRequest,
-        max_delay: Duration,
-    ) -> Result<QuotaState, (QuotaState, Option<Duration>)> {
-        let now = monotonic();
+    ) -> Result<QuotaState, (QuotaState, Duration)> {
         let mut quotas = self.quotas.borrow_mut();
-        if !self.settings.divides_fairly {
-            let decision = quotas.admit(now, workspace);
-            let state = quotas.state(workspace);
-            self.metrics.count("quota", if decision.is_ok() { "admitted" } else { "refused" });
-            return decision.map(|()| state).map_err(|retry_after| (state, Some(retry_after)));
-        }
-        let before = quotas.state(workspace);
-        if before.rate <= 0.0 {
-            self.metrics.count("quota", "admitted");
-            return Ok(before);
-        }
-        let mut promises = self.promises.borrow_mut();
-        let is_promising = promises.is_promising(now, workspace);
-        let arrival = QuotaArrival {
-            workspace,
-            digest: is_promising.then(|| RequestDigest::of(request)),
-            refill: before.rate * before.live_fraction,
-            burst: before.burst,
-            random: rand::random(),
-        };
-        let reserved = promises.reserved(now, &arrival);
-        let decision = quotas.admit_above(now, workspace, reserved);
+        let decision = quotas.admit(monotonic(), workspace);
         let state = quotas.state(workspace);
-        if decision.is_ok() {
-            promises.record_admitted(now, &arrival);
-            self.metrics.count("quota", "admitted");
-            return Ok(state);
-        }
-        let request = PromiseRequest {
-            workspace,
-            digest: arrival.digest.unwrap_or_else(|| RequestDigest::of(request)),
-            rate: state.rate,
-            burst: state.burst,
-            level: state.level,
-            refill: arrival.refill,
-            max_delay,
-            random: rand::random(),
-        };
-        let delay = promises.promise(now, &request);
-        if now >= self.promises_logged_at.get() + PROMISE_LOG_INTERVAL {
-            self.promises_logged_at.set(now);
-            log_promises(workspace, state, promises.evidence(now, workspace));
-        }
-        self.metrics.count("quota", if delay.is_some() { "promised" } else { "refused" });
-        Err((state, delay))
+        self.metrics.count("quota", if decision.is_ok() { "admitted" } else { "refused" });
+        decision.map(|()| state).map_err(|retry_after| (state, retry_after))
     }
 
     pub(crate) fn refund_quota(&self, workspace: &WorkspaceId) {
@@ -421,12 +363,6 @@
         }
         drop(quotas);
         self.apply_rollout_news(&new_reports);
-        if self.settings.divides_fairly {
-            let mut promises = self.promises.borrow_mut();
-            for (vm, report) in &new_reports {
-                promises.observe(now, vm, &report.promises);
-            }
-        }
         for (vm, report) in &new_reports {
             if let Some(prompts) = &report.prompts {
                 self.apply_prompt_report(vm, report.incarnation, prompts);
@@ -447,7 +383,6 @@
             prompts: self.prompt_report(monotonic()),
             rollouts: self.rollout_news(),
             outliers: self.dispatcher.borrow().report_outliers(monotonic()),
-            promises: self.promises.borrow().report(monotonic()),
         }
     }
 }
--- a/crates/ebonydock/src/gateway/traces.rs
+++ b/crates/ebonydock/src/gateway/traces.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use crate::admission::PromiseEvidence;
 use crate::clock::monotonic;
 use crate::gateway::connections::SendError;
 use crate::gateway::forward::{AdmittedRequest, AttemptHistory, RunningAttempt};
@@ -35,16 +34,6 @@
     );
 }
 
-/// Logs what the promises of a workspace with refused requests are decided on.
-pub(crate) fn log_promises(workspace: &WorkspaceId, quota: QuotaState, evidence: PromiseEvidence) {
-    log::info!(
-        workspace = workspace.as_str(), rate = quota.rate, level = hundredths(quota.level),
-        live_fraction = hundredths(quota.live_fraction), made = evidence.made,
-        outstanding = evidence.outstanding;
-        "tokens promised"
-    );
-}
-
 impl GatewayCore {
     pub(crate) fn log_attempt(
         &self,
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -4,7 +4,6 @@
 //! messages and tests. Decisions are state machines without I/O that take the time as an argument. The
 //! crate root lists the public API.
 
-mod admission;
 mod clock;
 mod configuration;
 mod entry;
@@ -28,10 +27,6 @@
 mod targets;
 mod vm;
 
-pub use admission::{
-    PromiseBook, PromiseEvidence, PromiseRequest, PromiseState, QuotaArrival, ReportedPromises,
-    RequestDigest,
-};
 pub use clock::{monotonic, unix_seconds};
 pub use configuration::{
     AccessEntry, Change, ConfigDocument, KeyHash, RouteRule, ServiceCall, VersionedBatch,
