--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -1312,105 +1312,6 @@
     site.close(&broken)
 }
 
-/// One of 50 items gets a spoiled answer: after some events the server sends bytes that are no answer, one now and then,
-/// until the caller closes. The server is sound before and after. The item must be listed in the end.
-fn endless_body(record: &Record) -> i32 {
-    const JOBS: usize = 5;
-    const ITEMS: usize = 10;
-    const EVENTS: usize = 60;
-    /// `finish_s` after the last batch job, and `max_queue_s` with some seconds more.
-    const FINISH_S: f64 = 18.0;
-    const KEPT_S: f64 = 70.0;
-    let store = Store::open(record);
-    store.put("op", "config", &config(7, &[batch_route("night")]));
-    let spoiled = item_id("7c41e09b52d0002", 4);
-    for number in 0..3 {
-        let zone = ["lj-a", "lj-b", "lj-c"][number];
-        let sound = stream_events(EVENTS, ITEM_GAP);
-        let (spoiled, own_record) = (spoiled.clone(), record.clone());
-        let was_spoiled = SPOILED.get_or_init(AtomicUsize::default);
-        let work: Arc<Work> = Arc::new(move |server, request, writer| {
-            let is_first = request.header("ebonydock-request-id") == spoiled
-                && has_trouble()
-                && was_spoiled.fetch_add(1, Ordering::SeqCst) == 0;
-            if !is_first {
-                return sound(server, request, writer);
-            }
-            let head = server
-                .head(request, "content-type: text/event-stream\r\ntransfer-encoding: chunked");
-            writer.write_all(head.as_bytes())?;
-            for number in 1..=EVENTS / 2 {
-                thread::sleep(ITEM_GAP);
-                let event = format!("id: {number}\ndata: {}\n\n", event_data(&spoiled, number));
-                writer.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-            }
-            own_record.line(format!(
-                "server {}: stops work on {spoiled} and sends bytes that are no answer",
-                server.id
-            ));
-            server.busy.fetch_sub(1, Ordering::SeqCst);
-            let ended = loop {
-                thread::sleep(Duration::from_millis(500));
-                if let Err(error) = writer.write_all(b"1\r\n?\r\n") {
-                    break error;
-                }
-            };
-            server.busy.fetch_add(1, Ordering::SeqCst);
-            Err(ended)
-        });
-        ServerStandIn::open(record, &format!("i-llm{number}"), "bench-llm", zone, 8, work)
-            .register(&store);
-    }
-    let site = Site::open(record, &store, 3);
-    let jobs: Vec<String> = (0..JOBS).map(|job| format!("7c41e09b52d{job:04x}")).collect();
-    for (number, job) in jobs.iter().enumerate() {
-        if site.submit(number % 3, "night", job, ITEMS) != 202 {
-            give_up("a batch job was not accepted");
-        }
-    }
-    let sent = Instant::now();
-    let mut open: Vec<(String, usize)> = jobs.iter().map(|job| (job.clone(), 0)).collect();
-    let mut broken = Vec::new();
-    let mut is_late = false;
-    while !open.is_empty() && sent.elapsed().as_secs_f64() < KEPT_S {
-        thread::sleep(Duration::from_millis(500));
-        open.retain_mut(|(job, seen)| {
-            let Some((total, results)) = site.results(0, job) else { return true };
-            let after = sent.elapsed().as_secs_f64();
-            for (id, state, text) in &results[(*seen).min(results.len())..] {
-                record.line(format!("client: item {id} is `{state}` after {after:.1} s"));
-                if state == "completed" && *text != whole_text(id, EVENTS) {
-                    broken.push(format!("MIXED: the text of item {id} is not whole"));
-                }
-            }
-            *seen = results.len();
-            results.len() < total
-        });
-        // The servers have been calm and empty for long.
-        if !is_late && sent.elapsed().as_secs_f64() > 2.0 * FINISH_S {
-            is_late = true;
-            for (job, seen) in &open {
-                broken.push(format!(
-                    "LOST: {:.0} s after the last batch job, {} of {ITEMS} items of {job} are listed neither as completed nor as dead_letter, and no server works on one",
-                    sent.elapsed().as_secs_f64(),
-                    ITEMS - seen
-                ));
-            }
-        }
-    }
-    for (job, seen) in &open {
-        broken.push(format!(
-            "LOST: {:.0} s after the last batch job, later than max_queue_s, {} of {ITEMS} items of {job} are still not listed",
-            sent.elapsed().as_secs_f64(),
-            ITEMS - seen
-        ));
-    }
-    site.close(&broken)
-}
-
-/// How often an answer was spoiled.
-static SPOILED: std::sync::OnceLock<AtomicUsize> = std::sync::OnceLock::new();
-
 /// A client reads a long answer slowly while the machine is stopped as planned.
 fn slow_reader(record: &Record) -> i32 {
     /// Length of the answer, and bytes that the client reads in a second: 7 s, within `grace_s`.
@@ -1487,7 +1388,6 @@
     ));
     let code = match case.as_str() {
         "stale-config" => stale_config(&record),
-        "endless-body" => endless_body(&record),
         "required-version" => required_version(&record),
         "slow-reader" => slow_reader(&record),
         _ => give_up("no such case"),
