--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -368,10 +368,8 @@
 
 /// How the store treats the calls of one machine.
 const SERVES: u8 = 0;
-/// Answers 503.
-const BUSY: u8 = 1;
 /// Does not answer.
-const SILENT: u8 = 2;
+const SILENT: u8 = 1;
 
 const TX_TIME: Duration = Duration::from_millis(4);
 const MOST_ROWS: usize = 500;
@@ -452,11 +450,7 @@
                     thread::sleep(Duration::from_secs(1));
                 }
             }
-            let (status, body) = if door.treatment.load(Ordering::Relaxed) == BUSY {
-                (503, "{}".to_owned())
-            } else {
-                self.answer(&request, door)
-            };
+            let (status, body) = self.answer(&request, door);
             if door.treatment.load(Ordering::Relaxed) == SILENT {
                 continue;
             }
@@ -1125,12 +1119,13 @@
     }
 }
 
-/// The store turns two of six machines away for 6 s. Meanwhile the operator adds a batch route, batch jobs are accepted
+/// Three times, the store turns two of six machines away for 6 s. Meanwhile the operator adds a batch route, batch jobs are accepted
 /// on it, and the machine that accepted them is stopped as planned. Nothing of an accepted batch job may be given up.
 fn stale_config(record: &Record) -> i32 {
     const MACHINES: usize = 6;
-    const JOBS: usize = 8;
-    const ITEMS: usize = 10;
+    const ROUNDS: usize = 3;
+    const JOBS: usize = 12;
+    const ITEMS: usize = 5;
     let store = Store::open(record);
     let first = [
         batch_route("night"),
@@ -1146,16 +1141,36 @@
     let mut site = Site::open(record, &store, MACHINES);
     let mut broken = Vec::new();
     let mut routes = first.to_vec();
-    for round in 0..2 {
-        // The machines that are turned away and the one that is stopped; another one in each round.
-        let (away, stopped) = ([2 + 2 * round, 3 + 2 * round], round);
+    // Batch jobs come on the first route all the while.
+    let fronts: Vec<SocketAddr> = site.gateways.iter().map(|gateway| gateway.front).collect();
+    thread::spawn(move || {
+        for number in 0_usize.. {
+            let (job, key) = (format!("9c2e41aa{number:08x}"), bearer());
+            let headers = [
+                ("host", HOST),
+                ("authorization", key.as_str()),
+                ("ebonydock-request-id", job.as_str()),
+                ("content-type", "application/json"),
+            ];
+            let body = submission(&job, "night", 2);
+            let front = fronts[number % fronts.len()];
+            call(
+                front,
+                &format!("POST /night/{job}"),
+                &headers,
+                body.as_bytes(),
+                Duration::from_secs(4),
+            );
+            thread::sleep(Duration::from_millis(700));
+        }
+    });
+    for round in 0..ROUNDS {
+        // The machines that are turned away, a third, and the one that is stopped.
+        let (away, stopped) = ([2, 3].map(|machine| machine + 2 * (round % 2)), round % 2);
         if has_trouble() {
-            record.line(format!(
-                "store: answers {} and {} with 503",
-                site.gateways[away[0]].name, site.gateways[away[1]].name
-            ));
             for gateway in away {
-                site.gateways[gateway].door.treatment.store(BUSY, Ordering::Relaxed);
+                record.line(format!("store: does not answer {}", site.gateways[gateway].name));
+                site.gateways[gateway].door.treatment.store(SILENT, Ordering::Relaxed);
             }
         }
         let began = Instant::now();
@@ -1212,10 +1227,25 @@
         if !open.is_empty() {
             record.line(format!("not finished: {open:?}"));
         }
-        let ended = &mut site.gateways[stopped];
-        if !ended.has_ended() {
-            record.line(format!("{} has not ended", ended.name));
+        // The platform starts the machine again, at the same address.
+        let until = Instant::now() + Duration::from_secs(10);
+        while !site.gateways[stopped].has_ended() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(100));
+        }
+        let file = site.folder.join(format!("{}.toml", site.gateways[stopped].name));
+        let child = Command::new("target/release/ebonydock_gateway")
+            .env("EBONYDOCK_NODE_FILE", &file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| give_up(&error.to_string()));
+        CHILDREN.lock().unwrap().push(child.id() as i32);
+        site.gateways[stopped].child = child;
+        while !site.gateways[stopped].is_ready() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(100));
         }
+        thread::sleep(Duration::from_secs(1));
     }
     site.close(&broken)
 }
