Gateway: logs say which configuration a VM takes a job over with

Cause: review case 6 (accepted batch jobs are given up as `route_removed`) has several possible causes that no log line told apart: the VM that claims a job may have an older configuration than the one that accepted it, its feeds may return in either order, or the route may be gone.

Change: a follower publishes the store version up to which it has applied its table. `job taken over` has the version of the configuration, the store version of the operators' records and that of the job's acceptance; `item finished` has the version of the configuration.

--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -145,6 +145,25 @@
     Changed(Vec<StoredRow>),
 }
 
+/// How far a follower has come in its table.
+#[derive(Debug, Default)]
+pub(crate) struct FollowerProgress {
+    version: Cell<u64>,
+    responded_at: Cell<Option<Duration>>,
+}
+
+impl FollowerProgress {
+    /// Returns the store version up to which all changes of the table have been applied.
+    pub(crate) fn version(&self) -> u64 {
+        self.version.get()
+    }
+
+    /// Returns whether the store responded to the follower at most `max_age` ago.
+    pub(crate) fn is_fresh(&self, now: Duration, max_age: Duration) -> bool {
+        self.responded_at.get().is_some_and(|at| now.saturating_sub(at) <= max_age)
+    }
+}
+
 /// Reports the rows of one table and their changes for as long as the VM runs.
 pub(crate) struct TableFollower {
     core: Rc<GatewayCore>,
@@ -154,9 +173,7 @@
     pacing: FeedPacing,
     retry_delay: Duration,
     unavailable_since: Option<Duration>,
-    last_version: u64,
-    /// When the store last responded to this follower.
-    last_response_at: Rc<Cell<Option<Duration>>>,
+    progress: Rc<FollowerProgress>,
 }
 
 impl TableFollower {
@@ -174,14 +191,14 @@
             pacing,
             retry_delay: RETRY_DELAYS.0,
             unavailable_since: None,
-            last_version: 0,
-            last_response_at: Rc::default(),
+            progress: Rc::default(),
         }
     }
 
-    /// Returns the shared time of the store's last response to this follower.
-    pub(crate) fn last_response_at(&self) -> Rc<Cell<Option<Duration>>> {
-        Rc::clone(&self.last_response_at)
+    /// Reports how far the follower has come to a handle that others read.
+    pub(crate) fn with_progress(mut self, progress: &Rc<FollowerProgress>) -> Self {
+        self.progress = Rc::clone(progress);
+        self
     }
 
     /// Calls `on_update` with all rows and then with each change. In the first update after an outage, the
@@ -195,6 +212,7 @@
             let Some((rows, mut version)) = self.value_or_delay(listed).await else { continue };
             let restored_at = self.record_response();
             on_update(&self.core, TableUpdate::Snapshot(rows), restored_at);
+            self.progress.version.set(version);
             loop {
                 let page = self.core.rows.feed(self.table, version, self.pacing.wait()).await;
                 if page == Err(RowError::HistoryLost) {
@@ -207,9 +225,12 @@
                 let restored_at = self.record_response();
                 self.core.record_store_time(page.store_time);
                 version = page.version.max(version);
-                self.last_version = version;
-                if !page.rows.is_empty() || restored_at.is_some() {
+                let has_update = !page.rows.is_empty() || restored_at.is_some();
+                if has_update {
                     on_update(&self.core, TableUpdate::Changed(page.rows), restored_at);
+                }
+                self.progress.version.set(version);
+                if has_update {
                     let members = self.core.peering.member_count();
                     tokio::time::sleep(self.pacing.delay(members)).await;
                 }
@@ -223,7 +244,7 @@
         for partition in &self.partitions {
             let page = read_all(&*self.core.rows, self.table, partition, "", "").await?;
             self.core.record_store_time(page.store_time);
-            if page.version < self.last_version {
+            if page.version < self.progress.version() {
                 // Applying a stale read would undo newer updates.
                 return Err(RowError::Refused(format!("stale read at version {}", page.version)));
             }
@@ -256,7 +277,7 @@
     /// Records a response of the store. Returns the current time if an outage ended with it.
     fn record_response(&mut self) -> Option<Duration> {
         let now = monotonic();
-        self.last_response_at.set(Some(now));
+        self.progress.responded_at.set(Some(now));
         let lost = self.unavailable_since.take()?;
         let away = now.saturating_sub(lost).as_millis() as u64;
         log::info!(table = self.table, away_ms = away; "store back");
--- a/crates/ebonydock/src/gateway/job_api.rs
+++ b/crates/ebonydock/src/gateway/job_api.rs
@@ -15,7 +15,7 @@
     INPUT_TABLE, JOB_TABLE, JobEntry, JobHead, JobItem, JobItemResult, JobName, JobProgress,
     JobSubmission, encode, write_chunks,
 };
-use crate::gateway::job_service::StartingGuard;
+use crate::gateway::job_service::{JobInputs, StartingGuard};
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::WorkspaceId;
 use crate::platform::rows::{RowError, RowTransaction};
@@ -203,7 +203,7 @@
         let state = LeaderState {
             job: job.clone(),
             entry,
-            items: Rc::new(items),
+            inputs: JobInputs { items: Rc::new(items), accepted_version: version },
             committed: HashSet::new(),
             partials: Vec::new(),
         };
@@ -292,7 +292,7 @@
         total: u32,
     ) -> JobApiResult<JobResultPage> {
         let empty = JobResultPage { total, next: after, results: Vec::new() };
-        if self.jobs.is_fresh(monotonic(), MAX_STALENESS) {
+        if self.jobs.progress.is_fresh(monotonic(), MAX_STALENESS) {
             return Ok(empty);
         }
         match self.read_job_with_retry(job).await? {
@@ -322,11 +322,11 @@
         item: &str,
     ) -> JobApiResult<Bytes> {
         let (job, _) = self.find_job(key, id).await?;
-        let items = self.read_inputs(&job).await.map_err(|error| {
+        let inputs = self.read_inputs(&job).await.map_err(|error| {
             log::warn!(job = job.as_str(), error = error.to_string(); "job inputs not read");
             JobRefusal::Unavailable
         })?;
-        let item = items.iter().find(|entry| entry.id == item).ok_or(JobRefusal::Unknown)?;
+        let item = inputs.items.iter().find(|entry| entry.id == item).ok_or(JobRefusal::Unknown)?;
         Ok(Bytes::from(item.body.clone()))
     }
 
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -18,6 +18,7 @@
     JOB_TABLE, JobEntry, JobItem, JobItemResult, JobName, PARTIAL_TABLE, PartialOutput,
     RESULT_TABLE, SavedProgress, decode, encode, write_chunks,
 };
+use crate::gateway::job_service::JobInputs;
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
 use crate::memory::MemoryKind;
@@ -63,7 +64,7 @@
 pub(crate) struct LeaderState {
     pub(crate) job: JobName,
     pub(crate) entry: JobEntry,
-    pub(crate) items: Rc<Vec<JobItem>>,
+    pub(crate) inputs: JobInputs,
     /// Indexes of the items whose results are already committed.
     pub(crate) committed: HashSet<u32>,
     pub(crate) partials: Vec<PartialOutput>,
@@ -84,12 +85,12 @@
 impl JobLeader {
     pub(crate) fn open(core: &Rc<GatewayCore>, state: LeaderState) -> (Self, HashSet<u32>) {
         let mut partials = state.partials;
-        partials.resize(state.items.len(), PartialOutput::default());
+        partials.resize(state.inputs.items.len(), PartialOutput::default());
         let leader = Self {
             core: Rc::clone(core),
             job: state.job,
             entry: state.entry,
-            items: state.items,
+            items: state.inputs.items,
             partials: Rc::new(RefCell::new(partials)),
         };
         (leader, state.committed)
@@ -241,7 +242,7 @@
         self.core.metrics.count("item", reason);
         log::info!(
             job = self.job.as_str(), item = id, outcome = reason, bytes = text.len() as u64,
-            head_version = self.entry.head_version;
+            head_version = self.entry.head_version, config_version = self.core.config_version();
             "item finished"
         );
         JobItemResult { index, id, completed, text }
--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -43,7 +43,7 @@
     /// Starts the tasks that follow the job table, replace lost leaders and delete expired jobs.
     pub(crate) fn spawn_jobs(self: &Rc<Self>) {
         let follower = self.follow(JOB_TABLE, job_partitions(), FeedPacing::Relaxed);
-        *self.jobs.refreshed_at.borrow_mut() = follower.last_response_at();
+        let follower = follower.with_progress(&self.jobs.progress);
         tokio::task::spawn_local(follower.run(|core, update, _| core.apply_job_changes(update)));
         tokio::task::spawn_local(keep_lease(Rc::clone(self)));
         let core = Rc::clone(self);
@@ -153,7 +153,7 @@
             );
             return;
         }
-        self.jobs.inputs.borrow_mut().insert(job.clone(), Rc::clone(&state.items));
+        self.jobs.inputs.borrow_mut().insert(job.clone(), state.inputs.clone());
         let (leader, committed) = JobLeader::open(self, state);
         let partials = leader.partials();
         let core = Rc::clone(self);
@@ -285,7 +285,7 @@
         }
     };
     // Before the claim, because a job whose inputs cannot be read is better left as it is.
-    let items = core.read_inputs(job).await?;
+    let inputs = core.read_inputs(job).await?;
     let previous = entry.head.lead.clone();
     let seen = core.leader_view(job, &entry);
     entry.head.lead = core.settings.vm.as_str().to_owned();
@@ -302,17 +302,19 @@
     let results = core.read_results(job, 0).await?;
     let committed: HashSet<u32> = results.iter().map(|result| result.index).collect();
     let rows = core.read_rows(PARTIAL_TABLE, job, &job.range_start()).await?;
-    let partials = read_partials(&join_chunks(&rows), items.len());
+    let partials = read_partials(&join_chunks(&rows), inputs.items.len());
     log::info!(
         job = job.as_str(), before = previous, reason = reason.as_str(),
         takeovers = record.takeovers, listed = committed.len() as u64,
         claimed_version = claimed_version, head_version = entry.head_version,
+        accepted_version = inputs.accepted_version, config_version = core.config_version(),
+        operator_version = core.operators.version(),
         previous_is_published = seen.is_published, previous_is_live = seen.is_live,
         previous_silent_ms = seen.silent_for.as_millis() as u64, live_vms = seen.live_vms as u64;
         "job taken over"
     );
     // Another VM may have claimed the job meanwhile; its version must not become this VM's.
     let entry = JobEntry { head_version: claimed_version, ..entry };
-    core.start_leader(LeaderState { job: job.clone(), entry, items, committed, partials });
+    core.start_leader(LeaderState { job: job.clone(), entry, inputs, committed, partials });
     Ok(())
 }
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinHandle;
 
 use crate::gateway::claim_planner::ClaimPlanner;
+use crate::gateway::followers::FollowerProgress;
 use crate::gateway::job_cache::ResultCache;
 use crate::gateway::job_leader::SharedPartials;
 use crate::gateway::job_records::{
@@ -25,6 +26,14 @@
     pub(crate) partials: SharedPartials,
 }
 
+/// Items of a job as they were accepted.
+#[derive(Clone, Debug)]
+pub(crate) struct JobInputs {
+    pub(crate) items: Rc<Vec<JobItem>>,
+    /// Store version at which the job was accepted: that of the rows of its inputs, which are written once.
+    pub(crate) accepted_version: u64,
+}
+
 /// Marks a job as being submitted or claimed by this VM until it is dropped.
 pub(crate) struct StartingGuard {
     pub(crate) core: Rc<GatewayCore>,
@@ -48,9 +57,9 @@
     pub(crate) reading_leases: RefCell<HashSet<VmId>>,
     pub(crate) cache: RefCell<ResultCache>,
     /// Items of the jobs that this VM leads.
-    pub(crate) inputs: RefCell<HashMap<JobName, Rc<Vec<JobItem>>>>,
-    /// When the follower of the job table last got a response of the store.
-    pub(crate) refreshed_at: RefCell<Rc<Cell<Option<Duration>>>>,
+    pub(crate) inputs: RefCell<HashMap<JobName, JobInputs>>,
+    /// How far the index has followed the job table.
+    pub(crate) progress: Rc<FollowerProgress>,
     item_stats: Cell<ItemStats>,
     /// Wakes callers that wait for results.
     pub(crate) changed: Notify,
@@ -87,7 +96,7 @@
             reading_leases: RefCell::default(),
             cache: RefCell::default(),
             inputs: RefCell::default(),
-            refreshed_at: RefCell::default(),
+            progress: Rc::default(),
             item_stats: Cell::default(),
             changed: Notify::default(),
         }
@@ -101,11 +110,6 @@
         Duration::try_from_secs_f64(remaining_events * stats.seconds_per_event).unwrap_or_default()
     }
 
-    /// Whether the index showed the store's state at most `max_age` ago.
-    pub(crate) fn is_fresh(&self, now: Duration, max_age: Duration) -> bool {
-        self.refreshed_at.borrow().get().is_some_and(|at| now.saturating_sub(at) <= max_age)
-    }
-
     /// Records a run that produced `new_events` of the item's `events` events so far.
     pub(crate) fn record_run(&self, events: u64, new_events: u64, took: Duration, complete: bool) {
         let mut stats = self.item_stats.get();
@@ -173,15 +177,16 @@
     }
 
     /// Returns the items of a job, from memory if this VM leads it.
-    pub(crate) async fn read_inputs(&self, job: &JobName) -> RowResult<Rc<Vec<JobItem>>> {
-        if let Some(items) = self.jobs.inputs.borrow().get(job) {
-            return Ok(Rc::clone(items));
+    pub(crate) async fn read_inputs(&self, job: &JobName) -> RowResult<JobInputs> {
+        if let Some(inputs) = self.jobs.inputs.borrow().get(job) {
+            return Ok(inputs.clone());
         }
         let rows = self.read_rows(INPUT_TABLE, job, &job.range_start()).await?;
+        let accepted_version = rows.first().map_or(0, |row| row.version);
         let values = join_chunks(&rows);
         let value = values.first().map(|(_, value)| value.as_slice()).unwrap_or_default();
         let items: Vec<JobItem> = decode(value).map_err(RowError::Refused)?;
-        Ok(Rc::new(items))
+        Ok(JobInputs { items: Rc::new(items), accepted_version })
     }
 
     /// Reads the results of a job from a position on, and adds them to the cache.
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -14,7 +14,7 @@
 use crate::gateway::catalog::{GatewayConfig, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
 use crate::gateway::followers::{
-    FeedPacing, OutOfServiceListing, RowDecoder, TableFollower, TargetListing,
+    FeedPacing, FollowerProgress, OutOfServiceListing, RowDecoder, TableFollower, TargetListing,
 };
 use crate::gateway::handle::GatewaySettings;
 use crate::gateway::job_service::JobService;
@@ -53,6 +53,8 @@
     /// `None` where roll-outs are not enabled.
     pub(crate) rollouts: Option<Rc<RolloutService>>,
     pub(crate) decoder: Rc<dyn RowDecoder>,
+    /// How far the operators' records have been followed.
+    pub(crate) operators: Rc<FollowerProgress>,
     connections: ConnectionPool,
     catalog: RefCell<Option<Rc<RouteCatalog>>>,
     quotas: RefCell<QuotaLedger>,
@@ -106,6 +108,7 @@
             metrics: GatewayMetrics::open(),
             peering,
             decoder,
+            operators: Rc::default(),
             connections,
             catalog: RefCell::default(),
             quotas: RefCell::new(QuotaLedger::open(monotonic())),
@@ -264,6 +267,7 @@
         let root = vec![String::new()];
         let operators =
             self.follow(self.decoder.operator_table(), root.clone(), FeedPacing::Prompt);
+        let operators = operators.with_progress(&self.operators);
         tokio::task::spawn_local(operators.run(|core, update, _| {
             core.apply_orders(&update);
             let latest = core.out_of_service.borrow_mut().apply(&*core.decoder, update);
