Jobs: items wait for the configuration that their job was accepted under

Cause: a leader gave items up as `route_removed` when its own configuration did not know the route. A VM that the store had not answered for a while takes jobs over, for instance when a caller reads their results there, before its feed of operators' records is back. It took "not known yet" for "removed". With a route that had moved, it sent items to the service that the route had left.

Change: the inputs of a job are written by its acceptance only, so the version of their rows is newer than the configuration that it was accepted under. A leader runs items or gives them up for their route only once its feed of operators' records has passed that version, which each response of the feed states. While an operators' record cannot be read, no item is given up for its route. No row has a new field, so jobs that an older version of the program accepted are covered.

--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -396,11 +396,15 @@
     }
 }
 
-/// The data centres out of service, by the key of their operator record.
+/// What the operators' records say apart from configurations and orders, by the key of the record.
 #[derive(Debug, Default)]
-pub(crate) struct OutOfServiceListing(HashMap<String, DataCentreId>);
+pub(crate) struct OperatorListing {
+    /// Data centres out of service.
+    out_of_service: HashMap<String, DataCentreId>,
+    unreadable: HashSet<String>,
+}
 
-impl OutOfServiceListing {
+impl OperatorListing {
     /// Applies an update. Returns the last configuration in it.
     pub(crate) fn apply(
         &mut self,
@@ -409,15 +413,16 @@
     ) -> Option<GatewayConfig> {
         let rows = match update {
             TableUpdate::Snapshot(rows) => {
-                self.0.clear();
+                *self = Self::default();
                 rows
             }
             TableUpdate::Changed(rows) => rows,
         };
         let mut newest: Option<GatewayConfig> = None;
         for row in rows {
+            self.unreadable.remove(&row.key);
             if row.deleted {
-                if let Some(data_centre) = self.0.remove(&row.key) {
+                if let Some(data_centre) = self.out_of_service.remove(&row.key) {
                     log::info!(data_centre = data_centre.as_str(); "data centre back in service");
                 }
                 continue;
@@ -426,11 +431,12 @@
                 Ok(OperatorRecord::Config(config)) => newest = Some(*config),
                 Ok(OperatorRecord::DataCentreOut(data_centre)) => {
                     log::info!(data_centre = data_centre.as_str(); "data centre out of service");
-                    self.0.insert(row.key, data_centre);
+                    self.out_of_service.insert(row.key, data_centre);
                 }
                 Ok(OperatorRecord::Rollout(_) | OperatorRecord::Other) => {}
                 Err(reason) => {
                     log::error!(key = row.key, version = row.version, reason = reason; "operator record unreadable");
+                    self.unreadable.insert(row.key);
                 }
             }
         }
@@ -439,6 +445,11 @@
 
     /// Returns the data centres out of service.
     pub(crate) fn data_centres(&self) -> HashSet<DataCentreId> {
-        self.0.values().cloned().collect()
+        self.out_of_service.values().cloned().collect()
+    }
+
+    /// Returns whether a record cannot be read, so that the configuration in force may not be the newest.
+    pub(crate) fn has_unreadable(&self) -> bool {
+        !self.unreadable.is_empty()
     }
 }
--- a/crates/ebonydock/src/gateway/job_api.rs
+++ b/crates/ebonydock/src/gateway/job_api.rs
@@ -12,8 +12,8 @@
 use crate::gateway::job_cache::first_page;
 use crate::gateway::job_leader::LeaderState;
 use crate::gateway::job_records::{
-    INPUT_TABLE, JOB_TABLE, JobEntry, JobHead, JobItem, JobItemResult, JobName, JobProgress,
-    JobSubmission, encode, write_chunks,
+    INPUT_TABLE, JOB_TABLE, JobEntry, JobHead, JobItemResult, JobName, JobProgress, JobSubmission,
+    encode, write_chunks,
 };
 use crate::gateway::job_service::{JobInputs, StartingGuard};
 use crate::gateway::runtime::GatewayCore;
@@ -92,6 +92,8 @@
     }
 
     async fn accept_job(self: &Rc<Self>, submission: &JobSubmission) -> JobApiResult<()> {
+        // Before the route is looked up, so that the records up to this version contain the route.
+        let operator_version = self.operators.version();
         let (workspace, route, terms) = self.find_batch_route(submission)?;
         let job = JobName::of(workspace.as_ref(), &submission.id);
         if self.jobs.index.borrow().get(&job).is_some() {
@@ -132,7 +134,8 @@
             return Err(JobRefusal::OutcomeUnknown);
         }
         let _starting = StartingGuard { core: Rc::clone(self), job: job.clone() };
-        self.write_job(&job, head, &inputs, submission.items.clone()).await
+        let items = Rc::new(submission.items.clone());
+        self.write_job(&job, head, &inputs, JobInputs { items, operator_version }).await
     }
 
     fn find_batch_route(
@@ -154,12 +157,12 @@
         self: &Rc<Self>,
         job: &JobName,
         head: JobHead,
-        inputs: &[u8],
-        items: Vec<JobItem>,
+        encoded_inputs: &[u8],
+        inputs: JobInputs,
     ) -> JobApiResult<()> {
-        if inputs.len() > MAX_INPUT_BYTES {
+        if encoded_inputs.len() > MAX_INPUT_BYTES {
             log::error!(
-                job = job.as_str(), bytes = inputs.len() as u64;
+                job = job.as_str(), bytes = encoded_inputs.len() as u64;
                 "job not accepted: its encoded items exceed the transaction limit"
             );
             return Err(JobRefusal::Unavailable);
@@ -169,7 +172,7 @@
             .expect(JOB_TABLE, &job.head_key(), 0)
             .write(JOB_TABLE, &job.head_key(), encode(&head))
             .write(JOB_TABLE, &job.progress_key(), encode(&progress));
-        let transaction = write_chunks(transaction, INPUT_TABLE, job, 0, inputs);
+        let transaction = write_chunks(transaction, INPUT_TABLE, job, 0, encoded_inputs);
         let deadline = monotonic() + STORE_TIMEOUT;
         let mut may_be_written = false;
         let version = loop {
@@ -203,7 +206,7 @@
         let state = LeaderState {
             job: job.clone(),
             entry,
-            inputs: JobInputs { items: Rc::new(items), accepted_version: version },
+            inputs,
             committed: HashSet::new(),
             partials: Vec::new(),
         };
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -76,6 +76,8 @@
     job: JobName,
     entry: JobEntry,
     items: Rc<Vec<JobItem>>,
+    /// See [`JobInputs`].
+    operator_version: u64,
     partials: Rc<RefCell<Vec<PartialOutput>>>,
 }
 
@@ -91,6 +93,7 @@
             job: state.job,
             entry: state.entry,
             items: state.inputs.items,
+            operator_version: state.inputs.operator_version,
             partials: Rc::new(RefCell::new(partials)),
         };
         (leader, state.committed)
@@ -102,6 +105,14 @@
 
     /// Runs all items whose results are not committed yet, and commits their results.
     pub(crate) async fn run(mut self, committed: HashSet<u32>) {
+        if !self.core.knows_operator_records(self.operator_version) {
+            log::info!(
+                job = self.job.as_str(), config_version = self.core.config_version(),
+                operator_version = self.core.operators.version(),
+                required_operator_version = self.operator_version;
+                "job waits: the configuration may be older than the one that it was accepted under"
+            );
+        }
         let (outcomes, mut finished) = mpsc::unbounded_channel();
         let mut running = JoinSet::new();
         for index in (0..self.items.len() as u32).filter(|index| !committed.contains(index)) {
@@ -110,6 +121,7 @@
                 job: self.job.clone(),
                 head: self.entry.head.clone(),
                 items: Rc::clone(&self.items),
+                operator_version: self.operator_version,
                 index,
                 partials: Rc::clone(&self.partials),
             };
@@ -282,6 +294,7 @@
     job: JobName,
     head: crate::gateway::job_records::JobHead,
     items: Rc<Vec<JobItem>>,
+    operator_version: u64,
     index: u32,
     partials: SharedPartials,
 }
@@ -311,8 +324,13 @@
             if monotonic() >= keep_until {
                 return ItemOutcome::GivenUp("kept_too_long");
             }
+            // An older configuration may lack the route or name a service that it has left.
+            if !self.core.knows_operator_records(self.operator_version) {
+                tokio::time::sleep(ITEM_RETRY_DELAY).await;
+                continue;
+            }
             let Some(mut admitted) = self.admit(keep_until) else {
-                if self.core.catalog().is_some_and(|c| c.route_named(&self.head.route).is_none()) {
+                if self.core.is_route_removed(&self.head.route) {
                     return ItemOutcome::GivenUp("route_removed");
                 }
                 tokio::time::sleep(ITEM_RETRY_DELAY).await;
--- a/crates/ebonydock/src/gateway/job_leadership.rs
+++ b/crates/ebonydock/src/gateway/job_leadership.rs
@@ -307,8 +307,8 @@
         job = job.as_str(), before = previous, reason = reason.as_str(),
         takeovers = record.takeovers, listed = committed.len() as u64,
         claimed_version = claimed_version, head_version = entry.head_version,
-        accepted_version = inputs.accepted_version, config_version = core.config_version(),
-        operator_version = core.operators.version(),
+        config_version = core.config_version(), operator_version = core.operators.version(),
+        required_operator_version = inputs.operator_version,
         previous_is_published = seen.is_published, previous_is_live = seen.is_live,
         previous_silent_ms = seen.silent_for.as_millis() as u64, live_vms = seen.live_vms as u64;
         "job taken over"
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -30,8 +30,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct JobInputs {
     pub(crate) items: Rc<Vec<JobItem>>,
-    /// Store version at which the job was accepted: that of the rows of its inputs, which are written once.
-    pub(crate) accepted_version: u64,
+    /// Store version up to which a VM must have applied the operators' records to know the configuration under
+    /// which the job was accepted.
+    pub(crate) operator_version: u64,
 }
 
 /// Marks a job as being submitted or claimed by this VM until it is dropped.
@@ -182,11 +183,13 @@
             return Ok(inputs.clone());
         }
         let rows = self.read_rows(INPUT_TABLE, job, &job.range_start()).await?;
-        let accepted_version = rows.first().map_or(0, |row| row.version);
+        // The inputs are written once, by the VM that accepted the job. The configuration that it knew is older
+        // than its write.
+        let operator_version = rows.first().map_or(0, |row| row.version);
         let values = join_chunks(&rows);
         let value = values.first().map(|(_, value)| value.as_slice()).unwrap_or_default();
         let items: Vec<JobItem> = decode(value).map_err(RowError::Refused)?;
-        Ok(JobInputs { items: Rc::new(items), accepted_version })
+        Ok(JobInputs { items: Rc::new(items), operator_version })
     }
 
     /// Reads the results of a job from a position on, and adds them to the cache.
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -14,7 +14,7 @@
 use crate::gateway::catalog::{GatewayConfig, RouteCatalog};
 use crate::gateway::connections::ConnectionPool;
 use crate::gateway::followers::{
-    FeedPacing, FollowerProgress, OutOfServiceListing, RowDecoder, TableFollower, TargetListing,
+    FeedPacing, FollowerProgress, OperatorListing, RowDecoder, TableFollower, TargetListing,
 };
 use crate::gateway::handle::GatewaySettings;
 use crate::gateway::job_service::JobService;
@@ -59,7 +59,7 @@
     catalog: RefCell<Option<Rc<RouteCatalog>>>,
     quotas: RefCell<QuotaLedger>,
     listing: RefCell<TargetListing>,
-    out_of_service: RefCell<OutOfServiceListing>,
+    operator_listing: RefCell<OperatorListing>,
     store_clock: Cell<Option<(Duration, Duration)>>,
     running: Cell<usize>,
     /// When a planned stop began; `None` while there is none.
@@ -113,7 +113,7 @@
             catalog: RefCell::default(),
             quotas: RefCell::new(QuotaLedger::open(monotonic())),
             listing: RefCell::default(),
-            out_of_service: RefCell::default(),
+            operator_listing: RefCell::default(),
             leases: LeaseRegistry::default(),
             prompts: PromptGuard::default(),
             store_clock: Cell::default(),
@@ -218,6 +218,18 @@
         self.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version())
     }
 
+    /// Returns whether all operators' records up to a version of the store have been applied.
+    pub(crate) fn knows_operator_records(&self, store_version: u64) -> bool {
+        self.operators.version() >= store_version
+    }
+
+    /// Returns whether the configuration in force lacks a route that an earlier or the same one had. It is no
+    /// evidence while a record, which may be a newer configuration, cannot be read.
+    pub(crate) fn is_route_removed(&self, name: &str) -> bool {
+        self.catalog().is_some_and(|catalog| catalog.route_named(name).is_none())
+            && !self.operator_listing.borrow().has_unreadable()
+    }
+
     pub(crate) fn target(&self, id: &TargetId) -> Option<ServingTarget> {
         self.dispatcher.borrow().target(id).cloned()
     }
@@ -270,10 +282,10 @@
         let operators = operators.with_progress(&self.operators);
         tokio::task::spawn_local(operators.run(|core, update, _| {
             core.apply_orders(&update);
-            let latest = core.out_of_service.borrow_mut().apply(&*core.decoder, update);
+            let latest = core.operator_listing.borrow_mut().apply(&*core.decoder, update);
             core.dispatcher
                 .borrow_mut()
-                .set_out_of_service(core.out_of_service.borrow().data_centres());
+                .set_out_of_service(core.operator_listing.borrow().data_centres());
             if let Some(config) = latest {
                 core.apply_config(config);
             }
--- a/crates/ebonydock/src/gateway/tests/mod.rs
+++ b/crates/ebonydock/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Unit tests of the gateway.
 
 mod catalog;
+mod configurations;
 mod decisions;
 mod fakes;
 mod jobs;
