Gateway: a VM that does not follow the operators' records refuses with 503

What the VM's copy of the configuration lacks was taken for what does not exist, whatever the age of the copy.

Change: these refusals are `may_be_outdated` (503, not run) while the feed of operators' records is lost: its last call failed, or it has had no response for 2 s. A feed that works gets one every 1.5 s. The same holds for calls on jobs. What the configuration has is served as before.

--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -150,6 +150,8 @@
 pub(crate) struct FollowerProgress {
     version: Cell<u64>,
     responded_at: Cell<Option<Duration>>,
+    /// Whether the last call failed.
+    has_failed: Cell<bool>,
 }
 
 impl FollowerProgress {
@@ -162,6 +164,11 @@
     pub(crate) fn is_fresh(&self, now: Duration, max_age: Duration) -> bool {
         self.responded_at.get().is_some_and(|at| now.saturating_sub(at) <= max_age)
     }
+
+    /// Returns whether the follower waits for changes after such a response, so that it misses none.
+    pub(crate) fn is_following(&self, now: Duration, max_age: Duration) -> bool {
+        !self.has_failed.get() && self.is_fresh(now, max_age)
+    }
 }
 
 /// Reports the rows of one table and their changes for as long as the VM runs.
@@ -263,6 +270,7 @@
                 Some(value)
             }
             Err(error) => {
+                self.progress.has_failed.set(true);
                 if self.unavailable_since.is_none() {
                     self.unavailable_since = Some(monotonic());
                     log::warn!(table = self.table, error = error.to_string(); "store lost");
@@ -278,6 +286,7 @@
     fn record_response(&mut self) -> Option<Duration> {
         let now = monotonic();
         self.progress.responded_at.set(Some(now));
+        self.progress.has_failed.set(false);
         let lost = self.unavailable_since.take()?;
         let away = now.saturating_sub(lost).as_millis() as u64;
         log::info!(table = self.table, away_ms = away; "store back");
--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -67,6 +67,8 @@
 pub enum RefusalReason {
     /// The VM has not received a configuration yet.
     NotConfigured,
+    /// No route or workspace matches, but the configuration may be older than the newest one.
+    MayBeOutdated,
     /// The VM is stopping.
     Stopping,
     /// No route matches the host and path.
@@ -97,6 +99,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotConfigured => "not_configured",
+            Self::MayBeOutdated => "may_be_outdated",
             Self::Stopping => "stopping",
             Self::NoRoute => "no_route",
             Self::BadKey => "bad_key",
@@ -224,9 +227,12 @@
         }
         let catalog = self.catalog().ok_or(GatewayRefusal::of(RefusalReason::NotConfigured))?;
         let found = catalog.find(&request.host, &request.path, request.key.as_ref());
-        let found = found.map_err(|miss| match miss {
-            RouteMiss::NoRoute => GatewayRefusal::of(RefusalReason::NoRoute),
-            RouteMiss::BadKey => GatewayRefusal::of(RefusalReason::BadKey),
+        let found = found.map_err(|miss| {
+            GatewayRefusal::of(match miss {
+                _ if !self.has_current_config() => RefusalReason::MayBeOutdated,
+                RouteMiss::NoRoute => RefusalReason::NoRoute,
+                RouteMiss::BadKey => RefusalReason::BadKey,
+            })
         })?;
         let service = RouteCatalog::pick_service(found.route, rand::random());
         let service = service.ok_or(GatewayRefusal::of(RefusalReason::NoTarget))?.clone();
--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -195,6 +195,12 @@
         self.core.catalog().map(|catalog| catalog.limits().body_bytes)
     }
 
+    /// Returns whether the configuration is known to be the newest, so that a request which it does not allow can
+    /// be refused for good.
+    pub fn has_current_config(&self) -> bool {
+        self.core.has_current_config()
+    }
+
     /// Returns whether the route of a host and path accepts batch jobs.
     pub fn accepts_jobs(&self, host: &str, path: &str) -> bool {
         self.core.catalog().is_some_and(|catalog| {
--- a/crates/ebonydock/src/gateway/job_api.rs
+++ b/crates/ebonydock/src/gateway/job_api.rs
@@ -34,6 +34,8 @@
 pub enum JobRefusal {
     /// The VM has no configuration yet.
     NotConfigured,
+    /// No route or workspace matches, but the configuration may be older than the newest one.
+    MayBeOutdated,
     /// No batch route matches the host and path.
     NoRoute,
     /// The key is missing or unknown.
@@ -53,6 +55,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NotConfigured => "not_configured",
+            Self::MayBeOutdated => "may_be_outdated",
             Self::NoRoute => "no_route",
             Self::BadKey => "bad_key",
             Self::Unknown => "unknown",
@@ -144,15 +147,20 @@
     ) -> JobApiResult<(Option<WorkspaceId>, String, BatchPolicy)> {
         let catalog = self.catalog().ok_or(JobRefusal::NotConfigured)?;
         let found = catalog.find(&submission.host, &submission.path, submission.key.as_ref());
-        let found = found.map_err(|miss| match miss {
-            RouteMiss::NoRoute => JobRefusal::NoRoute,
-            RouteMiss::BadKey => JobRefusal::BadKey,
-        })?;
+        let found = found.map_err(|miss| self.job_refusal_for(miss))?;
         let RouteClass::Batch(terms) = found.route.class else { return Err(JobRefusal::NoRoute) };
         let workspace = found.workspace.map(|workspace| workspace.name.clone());
         Ok((workspace, found.route.name.to_string(), terms))
     }
 
+    fn job_refusal_for(&self, miss: RouteMiss) -> JobRefusal {
+        match miss {
+            _ if !self.has_current_config() => JobRefusal::MayBeOutdated,
+            RouteMiss::NoRoute => JobRefusal::NoRoute,
+            RouteMiss::BadKey => JobRefusal::BadKey,
+        }
+    }
+
     async fn write_job(
         self: &Rc<Self>,
         job: &JobName,
@@ -239,7 +247,7 @@
             let catalog = self.catalog().ok_or(JobRefusal::NotConfigured)?;
             let workspace = catalog.workspace_of(key);
             if workspace.is_none() && catalog.needs_keys() {
-                return Err(JobRefusal::BadKey);
+                return Err(self.job_refusal_for(RouteMiss::BadKey));
             }
             workspace.map(|workspace| workspace.name.clone())
         };
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -35,6 +35,9 @@
 use crate::rollouts::RolloutLeader;
 use crate::rollouts::service::RolloutService;
 
+/// Time after the last response to the feed of operators' records from which changes may have been missed. A feed that
+/// works gets a response at least every 1.5 s, and a change must be in force within 2 s.
+const MAX_CONFIG_AGE: Duration = Duration::from_secs(2);
 /// How often reports of other VMs and targets that did not register again are checked for expiry.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -218,6 +221,12 @@
         self.catalog.borrow().as_ref().map_or(0, |catalog| catalog.version())
     }
 
+    /// Returns whether this VM follows the operators' records. Otherwise routes and keys that the configuration lacks
+    /// may have been added, and other VMs may know them.
+    pub(crate) fn has_current_config(&self) -> bool {
+        self.operators.is_following(monotonic(), MAX_CONFIG_AGE)
+    }
+
     /// Returns whether all operators' records up to a version of the store have been applied.
     pub(crate) fn knows_operator_records(&self, store_version: u64) -> bool {
         self.operators.version() >= store_version
--- a/crates/ebonydock/src/gateway/tests/configurations.rs
+++ b/crates/ebonydock/src/gateway/tests/configurations.rs
@@ -2,11 +2,16 @@
 
 use std::time::Duration;
 
+use yare::parameterized;
+
+use crate::configuration::KeyHash;
 use crate::gateway::catalog::{BatchPolicy, ForwardRoute, RouteBackend, RouteClass};
+use crate::gateway::forward::RefusalReason;
 use crate::gateway::handle::Gateway;
+use crate::gateway::job_api::JobRefusal;
 use crate::gateway::job_records::{JobItemResult, JobSubmission};
 use crate::gateway::tests::catalog::{config, route};
-use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, run};
+use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, request, run};
 use crate::gateway::tests::jobs::{ITEMS, all_results, full_output, key, submission};
 use crate::ids::ServiceName;
 
@@ -134,3 +139,47 @@
         assert!(all_complete(&results, 20), "{results:?}");
     });
 }
+
+/// A VM that the store does not serve refused routes and keys that others knew already with 404 and 401, which
+/// callers do not repeat elsewhere.
+#[parameterized(
+    refusing = { true },
+    silent = { false },
+)]
+fn route_or_key_that_may_be_new_is_not_refused_for_good(refuses: bool) {
+    run(async move {
+        let targets = FakeTargets::open(|_, _| TargetBehavior::Whole(200, "whole"));
+        let site = FakeSite::open(targets);
+        let gateway = site.gateway("vm1").await;
+        let reason = async |path: &str, key: &str| {
+            let mut request = request("r1", path);
+            request.key = Some(KeyHash::of(key));
+            gateway.forward(request).await.err().map(|refusal| refusal.reason)
+        };
+        assert_eq!(reason("/evening/1", "secret").await, Some(RefusalReason::NoRoute));
+        assert_eq!(reason("/safe/1", "new").await, Some(RefusalReason::BadKey));
+        if refuses {
+            site.store.refuses.set(true);
+        } else {
+            site.store.silent_table.set("operators");
+        }
+        let mut newer = config(2, vec![route("evening", "/evening/", RouteClass::Idempotent)]);
+        newer.workspaces.as_mut().unwrap()[0].keys.push(KeyHash::of("new"));
+        site.configure(newer);
+        // Shorter than a silent feed request takes to fail.
+        tokio::time::sleep(Duration::from_millis(if refuses { 50 } else { 2050 })).await;
+        assert_eq!(reason("/evening/1", "secret").await, Some(RefusalReason::MayBeOutdated));
+        assert_eq!(reason("/safe/1", "new").await, Some(RefusalReason::MayBeOutdated));
+        let refused = gateway.submit_job(submission_on("evening", "j1")).await;
+        assert_eq!(refused, Err(JobRefusal::MayBeOutdated));
+        let new_key = KeyHash::of("new");
+        let refused = gateway.job_results(Some(&new_key), "j1", 0, Duration::ZERO).await;
+        assert_eq!(refused.err(), Some(JobRefusal::MayBeOutdated));
+        assert_eq!(reason("/safe/1", "secret").await, None, "what is known is served");
+        site.store.refuses.set(false);
+        site.store.silent_table.set("");
+        tokio::time::sleep(FEED_RECOVERY_TIME).await;
+        assert_eq!(reason("/evening/1", "new").await, None);
+        assert_eq!(reason("/safe/1", "secret").await, Some(RefusalReason::NoRoute));
+    });
+}
