Connections: a response whose status HTTP does not have is lost

Callers saw: an answer with status 600 or 999 as the target had sent it, also on routes whose requests may be sent again; an unasked 101 as a broken connection. Status 000 was refused by the library before.

Cause: the HTTP library reads any number from 100 to 999 as a status, and nothing checked it.

Change: the pool of connections, which targets and the store share, returns only statuses from 200 to 599. For others the connection is closed and the attempt is lost: the target has failed, an idempotent request is sent again, another gets 502.

Evidence: `status_outside_of_protocol_is_lost` failed for 101, 600 and 999 before (000 and 099 passed); with processes, requests on a safe route and resumed streams were not sent again after a 101. Both pass now.

The early 200 that is reset was looked for with the same tests: 288 exchanges of 1 KB to 16 MB with answers of four forms without a length, and with processes on safe, unsafe, stream and resumable routes. None looked complete; nothing was changed for it, and the tests stay.

--- a/crates/ebonydock/src/gateway/connections.rs
+++ b/crates/ebonydock/src/gateway/connections.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -46,6 +47,10 @@
 /// framing of chunks, trailers. The library bounds what it stores of them, but not how long it reads.
 const MAX_OVERHEAD_BYTES: usize = 4 * BUFFER_BYTES;
 
+/// The library reads numbers from 100 to 999 as statuses. Interim ones do not reach its callers, except that for a
+/// change of protocols, which the pool never asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 type Sender = SendRequest<Full<bytes::Bytes>>;
 
 /// Why a request got no response.
@@ -352,6 +357,11 @@
             return Err((error.to_string(), Some(request)));
         }
         match connection.sender.try_send_request(request).await {
+            // Nothing that the connection brings can be trusted.
+            Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => {
+                let status = response.status().as_u16();
+                Err((format!("status {status} is no status of a response"), None))
+            }
             Ok(response) => {
                 connection.overhead.set(0);
                 let over_reused_connection = std::mem::replace(&mut connection.is_reused, true);
