Jobs: an answer without events that breaks off does not fail its item

Cause: the leader counted an answer without events as a failure of the item from its head and never read the body. The target was not held to have failed either.

A complete one counts as before.

Evidence: `items_with_broken_answers_complete` failed before; the log had `item failed` with status 200 twice and `item finished` with `failed` within 2 ms.

--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -377,7 +377,16 @@
                 }
                 continue;
             }
-            attempt.lease.release(SlotOutcome::Responded);
+            if !status.is_success() {
+                attempt.lease.release(SlotOutcome::Responded);
+            } else if let Err(reason) = self.discard_body(&admitted, attempt).await {
+                log::info!(
+                    job = self.job.as_str(), item = self.item().id, reason = reason;
+                    "item broke off"
+                );
+                tokio::time::sleep(ITEM_RETRY_DELAY).await;
+                continue;
+            }
             if status == StatusCode::UNPROCESSABLE_ENTITY {
                 return ItemOutcome::GivenUp("not_doable");
             }
@@ -455,6 +464,35 @@
         })
     }
 
+    /// Reads a successful response that is no stream of events.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the response is not complete, so that the target has not failed the item.
+    async fn discard_body(
+        &self,
+        admitted: &AdmittedRequest,
+        attempt: RunningAttempt,
+    ) -> Result<(), String> {
+        let RunningAttempt { response, lease, incarnation } = attempt;
+        let mut body = response.body;
+        let mut bytes = 0;
+        let discarded = async {
+            while let Some(chunk) = body.next().await {
+                bytes += chunk.map_err(|error| error.to_string())?.len();
+            }
+            Ok(())
+        };
+        let discarded = tokio::time::timeout(ITEM_IDLE_TIMEOUT, discarded).await;
+        let discarded = discarded.unwrap_or_else(|_| Err("the body has no end".to_owned()));
+        if discarded.is_err() && bytes == 0 {
+            self.core.record_prompt_failure(admitted, incarnation);
+        }
+        let is_complete = discarded.is_ok();
+        lease.release(if is_complete { SlotOutcome::Responded } else { SlotOutcome::Failed });
+        discarded
+    }
+
     /// Reads the events of an attempt and appends them to the partial output.
     async fn collect_output(
         &self,
