Targets: `ebonydockd` reads answers without a length to their end

Callers saw: a call of a service whose HTTP/1.1 answer had neither a length nor chunks returned 200 with an empty body, complete or reset; calls that are sent once stored it. Statuses 600 and 999 reached the caller, and an engine that failed its health check with a readable report was held to be well.

Cause: the client of the server library reads the body of such a response as empty and any number as a status; the status of a health check was not looked at.

Change: targets are called over the gateway's pool of connections, one connection for each request as before. It reads such a body to the end of its connection, loses it if it is reset, and returns only statuses from 200 to 599. A health check needs a success.

Evidence: with the former client, 6 of the new test cases fail: `Ok((200, []))` for complete and for reset answers, 600 and 999 returned, engines with 500 and 600 held to be well. They pass now.

--- a/crates/ebonydock/src/gateway/connections.rs
+++ b/crates/ebonydock/src/gateway/connections.rs
@@ -64,6 +64,18 @@
     Lost(String),
 }
 
+/// Returns the first address of `HOST:PORT`.
+///
+/// # Errors
+///
+/// Returns [`SendError::NotSent`] if the host is not known.
+pub(crate) async fn resolve(address: &str) -> Result<SocketAddr, SendError> {
+    let unknown = |reason| SendError::NotSent(format!("`{address}`: {reason}"));
+    let sockets = tokio::net::lookup_host(address).await;
+    let mut sockets = sockets.map_err(|error| unknown(error.to_string()))?;
+    sockets.next().ok_or_else(|| unknown("no address".to_owned()))
+}
+
 /// The task that drives a connection. Dropping it closes the connection.
 struct DriverTask(tokio::task::JoinHandle<()>);
 
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -10,7 +10,7 @@
 
 mod catalog;
 mod claim_planner;
-mod connections;
+pub(crate) mod connections;
 mod events;
 mod followers;
 mod forward;
--- a/crates/ebonydock/src/targets/http.rs
+++ b/crates/ebonydock/src/targets/http.rs
@@ -8,13 +8,15 @@
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
-use ntex::client::error::ClientError;
-use ntex::client::{Client, ClientResponse};
-use ntex::http::header::CONTENT_TYPE;
-use ntex::http::{Method, StatusCode};
+use http::header::{CONNECTION, CONTENT_TYPE, HOST};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use ntex::util::Bytes;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::platform::http::http_client;
+use crate::gateway::connections::resolve;
+use crate::gateway::{BodyBudget, ConnectionPool, PooledBody, PooledResponse, SendError};
 use crate::scheduling::CacheReport;
 use crate::targets::{
     EngineClient, EngineCommand, EngineStatus, GenerateRequest, ServiceClient, ServiceRequest,
@@ -28,11 +30,14 @@
 const TOKEN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Limit for one event of an engine, which holds a token; bytes beyond this are no event.
 const MAX_EVENT_BYTES: usize = 64 * 1024;
+/// Limit for a response that is read whole.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const START_ID_HEADER: &str = "x-start-id";
+const JSON: &str = "application/json";
 
 /// HTTP client for model engines and plain services.
 pub struct TargetClient {
-    client: Client,
+    connections: ConnectionPool,
 }
 
 /// Server-sent event in the response of an engine.
@@ -63,15 +68,58 @@
 
 impl TargetClient {
     /// Opens a client.
-    pub async fn open() -> Self {
-        Self { client: http_client(RESPONSE_TIMEOUT).await }
+    pub fn open() -> Self {
+        Self { connections: ConnectionPool::default() }
+    }
+
+    /// Sends a request and waits up to `timeout` for the head of its response.
+    ///
+    /// Each request gets a connection of its own: a pooled one may be closed by the target while the request is
+    /// sent, and after a cancelled response it must not be reused.
+    async fn send(
+        &self,
+        address: &str,
+        request: http::request::Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<PooledResponse, TargetError> {
+        let body = Full::new(bytes::Bytes::from_owner(body));
+        let request = request.header(HOST, address).header(CONNECTION, "close");
+        let request = request.body(body).map_err(failed_response)?;
+        let socket = resolve(address).await.map_err(send_error)?;
+        let response = self.connections.send_over_new(socket, request);
+        let response = tokio::time::timeout(timeout, response).await;
+        response
+            .map_err(|_| TargetError::Broken("no answer in time".to_owned()))?
+            .map_err(send_error)
+    }
+
+    async fn get<T: DeserializeOwned>(&self, address: &str, path: &str) -> Result<T, TargetError> {
+        let response =
+            self.send(address, Request::get(path), Bytes::new(), RESPONSE_TIMEOUT).await?;
+        if !response.head.status.is_success() {
+            return Err(status_error(response).await);
+        }
+        serde_json::from_slice(&read_body(response.body).await?).map_err(failed_response)
+    }
+
+    async fn post_json(
+        &self,
+        address: &str,
+        path: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<PooledResponse, TargetError> {
+        let body = serde_json::to_vec(body).map_err(failed_response)?;
+        let request = Request::post(path).header(CONTENT_TYPE, JSON);
+        self.send(address, request, Bytes::from(body), timeout).await
     }
 }
 
-fn send_error(error: &ClientError) -> TargetError {
+fn send_error(error: SendError) -> TargetError {
     match error {
-        ClientError::Connect(_) => TargetError::NotSent,
-        other => TargetError::Broken(other.to_string()),
+        SendError::NotSent(_) => TargetError::NotSent,
+        SendError::Lost(reason) => TargetError::Broken(reason),
     }
 }
 
@@ -79,12 +127,20 @@
     TargetError::Broken(error.to_string())
 }
 
-async fn status_error(response: &ClientResponse) -> TargetError {
-    let status = response.status();
+/// Reads a complete body.
+async fn read_body(body: PooledBody) -> Result<Bytes, TargetError> {
+    let budget = BodyBudget::open(MAX_BODY_BYTES);
+    let body = tokio::time::timeout(RESPONSE_TIMEOUT, body.read_all(MAX_BODY_BYTES, &budget)).await;
+    body.map_err(|_| TargetError::Broken("the answer is not complete in time".to_owned()))?
+        .map_err(send_error)
+}
+
+async fn status_error(response: PooledResponse) -> TargetError {
+    let status = response.head.status;
     if matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
         return TargetError::Overloaded;
     }
-    let text = response.body().await.unwrap_or_default();
+    let text = read_body(response.body).await.unwrap_or_default();
     let text = String::from_utf8_lossy(&text).into_owned();
     if status.is_client_error() {
         return TargetError::Rejected(text);
@@ -92,8 +148,8 @@
     TargetError::Broken(format!("status {status}: {text}"))
 }
 
-fn start_id(response: &ClientResponse) -> u64 {
-    let header = response.header(START_ID_HEADER).and_then(|value| value.to_str().ok());
+fn start_id(response: &PooledResponse) -> u64 {
+    let header = response.head.headers.get(START_ID_HEADER).and_then(|value| value.to_str().ok());
     header.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
@@ -110,14 +166,18 @@
     Ok(TokenEvent::Token(event.text))
 }
 
-fn token_events(response: &ClientResponse, request: &GenerateRequest) -> TokenEvents {
+fn token_events(body: PooledBody, request: &GenerateRequest) -> TokenEvents {
     let request_id = request.request_id.clone();
     let mut next = request.generated_tokens;
     let mut done = false;
     // Bytes received since the last event.
     let pending = Rc::new(Cell::new(0));
     let received = Rc::clone(&pending);
-    let chunks = response.take_payload().map(move |chunk| {
+    let chunks = futures_util::stream::unfold(body, async |mut body| {
+        let chunk = body.next_chunk().await?;
+        Some((chunk, body))
+    });
+    let chunks = chunks.map(move |chunk: Result<Bytes, SendError>| {
         let chunk = chunk.map_err(|error| error.to_string())?;
         received.set(received.get() + chunk.len());
         if received.get() > MAX_EVENT_BYTES {
@@ -156,18 +216,14 @@
         request: &'a GenerateRequest,
     ) -> LocalBoxFuture<'a, Result<TokenStream, TargetError>> {
         Box::pin(async move {
-            // Use a separate connection for each request: a pooled connection may be closed by the engine
-            // while the request is sent, and after a cancelled response it must not be reused.
-            let call = self.client.post(format!("http://{address}/v1/generate")).force_close();
-            let sent = tokio::time::timeout(RESPONSE_START_TIMEOUT, call.send_json(request)).await;
-            let sent = sent.map_err(|_| TargetError::Broken("no answer in time".to_owned()))?;
-            let response = sent.map_err(|error| send_error(&error))?;
-            if response.status() != StatusCode::OK {
-                return Err(status_error(&response).await);
+            let response =
+                self.post_json(address, "/v1/generate", request, RESPONSE_START_TIMEOUT).await?;
+            if response.head.status != StatusCode::OK {
+                return Err(status_error(response).await);
             }
             Ok(TokenStream {
                 start_id: start_id(&response),
-                events: token_events(&response, request),
+                events: token_events(response.body, request),
             })
         })
     }
@@ -176,11 +232,7 @@
         &'a self,
         address: &'a str,
     ) -> LocalBoxFuture<'a, Result<EngineStatus, TargetError>> {
-        Box::pin(async move {
-            let call = self.client.get(format!("http://{address}/status"));
-            let response = call.send().await.map_err(|error| send_error(&error))?;
-            response.json().await.map_err(failed_response)
-        })
+        Box::pin(self.get(address, "/status"))
     }
 
     fn cache<'a>(
@@ -190,9 +242,7 @@
     ) -> LocalBoxFuture<'a, Result<CacheReport, TargetError>> {
         Box::pin(async move {
             let after = after.map(|after| format!("?after={after}")).unwrap_or_default();
-            let call = self.client.get(format!("http://{address}/cache{after}"));
-            let response = call.send().await.map_err(|error| send_error(&error))?;
-            let cache: EngineCache = response.json().await.map_err(failed_response)?;
+            let cache: EngineCache = self.get(address, &format!("/cache{after}")).await?;
             Ok(cache.into())
         })
     }
@@ -203,9 +253,9 @@
         command: &'a EngineCommand,
     ) -> LocalBoxFuture<'a, Result<(), TargetError>> {
         Box::pin(async move {
-            let call = self.client.post(format!("http://{address}/orders"));
-            let response = call.send_json(command).await.map_err(|error| send_error(&error))?;
-            if response.status().is_success() { Ok(()) } else { Err(status_error(&response).await) }
+            let response = self.post_json(address, "/orders", command, RESPONSE_TIMEOUT).await?;
+            let is_accepted = response.head.status.is_success();
+            if is_accepted { Ok(()) } else { Err(status_error(response).await) }
         })
     }
 }
@@ -227,20 +277,18 @@
         request: &'a ServiceRequest,
     ) -> LocalBoxFuture<'a, Result<ServiceResponse, TargetError>> {
         Box::pin(async move {
-            let method = Method::from_bytes(request.method.as_bytes()).map_err(failed_response)?;
-            let url = format!("http://{address}{}", request.path);
-            let mut call = self.client.request(method, url).force_close();
-            call = call.set_header("x-request-id", request.request_id.as_str());
+            let mut head = Request::builder().method(request.method.as_str()).uri(&request.path);
+            head = head.header("x-request-id", &request.request_id);
             if let Some(content_type) = &request.content_type {
-                call = call.set_header(CONTENT_TYPE, content_type.as_str());
+                head = head.header(CONTENT_TYPE, content_type);
             }
-            let body = request.body.clone();
-            let response = call.send_body(body).await.map_err(|error| send_error(&error))?;
-            let content_type = response.header(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+            let response = self.send(address, head, request.body.clone(), RESPONSE_TIMEOUT).await?;
+            let content_type = response.head.headers.get(CONTENT_TYPE);
+            let content_type = content_type.and_then(|value| value.to_str().ok());
             Ok(ServiceResponse {
-                status: response.status().as_u16(),
+                status: response.head.status.as_u16(),
                 content_type: content_type.map(str::to_owned),
-                body: response.body().await.map_err(failed_response)?.to_vec(),
+                body: read_body(response.body).await?.to_vec(),
             })
         })
     }
--- a/crates/ebonydock/src/targets/tests.rs
+++ b/crates/ebonydock/src/targets/tests.rs
@@ -1,15 +1,18 @@
 //! Tests of the HTTP client against minimal servers.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::channel;
 use std::time::Duration;
 
 use futures_util::stream::{self, StreamExt};
 use ntex::util::Bytes;
+use yare::parameterized;
 
 use crate::targets::http::TargetClient;
-use crate::targets::{EngineClient, GenerateRequest, ServiceClient, ServiceRequest, TargetError};
+use crate::targets::{
+    EngineClient, EngineStatus, GenerateRequest, ServiceClient, ServiceRequest, TargetError,
+};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -36,7 +39,7 @@
 #[ntex::test]
 async fn calls_on_separate_connections_succeed() {
     let address = spawn_server().unwrap().to_string();
-    let client = TargetClient::open().await;
+    let client = TargetClient::open();
     let request = ServiceRequest {
         method: "GET".to_owned(),
         path: "/".to_owned(),
@@ -69,7 +72,7 @@
         }
         sender.send(()).unwrap();
     });
-    let client = TargetClient::open().await;
+    let client = TargetClient::open();
     let request = GenerateRequest {
         request_id: "1".to_owned(),
         model: "m".into(),
@@ -86,3 +89,114 @@
     let closed = tokio::task::spawn_blocking(move || closed.recv_timeout(TEST_TIMEOUT));
     assert_eq!(closed.await.unwrap(), Ok(()));
 }
+
+/// Answers one request after `read_bytes` of its body, and resets the connection if `resets` is set.
+fn answer(
+    listener: &TcpListener,
+    answer: &str,
+    read_bytes: usize,
+    resets: bool,
+) -> std::io::Result<()> {
+    let (stream, _) = listener.accept()?;
+    let mut reader = BufReader::with_capacity(1, stream.try_clone()?);
+    let mut line = String::new();
+    while reader.read_line(&mut line)? > 2 {
+        line.clear();
+    }
+    std::io::copy(&mut reader.take(read_bytes as u64), &mut std::io::sink())?;
+    (&stream).write_all(answer.as_bytes())?;
+    if resets {
+        std::thread::sleep(Duration::from_millis(2));
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    }
+    Ok(())
+}
+
+/// Calls a service that gives this answer. Returns the status and the body.
+fn call_service(
+    text: &'static str,
+    sent_bytes: usize,
+    read_bytes: usize,
+    resets: bool,
+) -> Result<(u16, Vec<u8>), TargetError> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let server = std::thread::spawn(move || answer(&listener, text, read_bytes, resets));
+    let request = ServiceRequest {
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        content_type: None,
+        request_id: "1".to_owned(),
+        body: Bytes::from(vec![b'x'; sent_bytes]),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let response = tokio::task::LocalSet::new()
+        .block_on(&runtime, async { TargetClient::open().call(&address, &request).await });
+    server.join().unwrap().unwrap();
+    response.map(|response| (response.status, response.body))
+}
+
+const ANSWERS_WITHOUT_LENGTH: [&str; 3] = [
+    "HTTP/1.1 200 OK\r\n\r\nthe first part",
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nthe first part",
+    "HTTP/1.0 200 OK\r\n\r\nthe first part",
+];
+
+/// Callers got an empty answer in place of one without a length.
+#[test]
+fn service_answer_without_length_is_read_to_its_end() {
+    for text in ANSWERS_WITHOUT_LENGTH {
+        let received = call_service(text, 1024, 1024, false);
+        assert_eq!(received, Ok((200, b"the first part".to_vec())), "{text}");
+    }
+}
+
+/// Callers got an empty answer in place of one that was reset.
+#[test]
+fn service_answer_that_is_reset_is_broken() {
+    for text in ANSWERS_WITHOUT_LENGTH {
+        for bytes in [1024, 256 * 1024, 16 * 1024 * 1024] {
+            for read_bytes in [0, bytes / 2, bytes] {
+                let received = call_service(text, bytes, read_bytes, true);
+                assert!(
+                    matches!(received, Err(TargetError::Broken(_))),
+                    "{text}, {read_bytes} of {bytes} bytes read: {received:?}"
+                );
+            }
+        }
+    }
+}
+
+/// Callers got the answer with its body and this status.
+#[parameterized(
+    zero = { "HTTP/1.1 000 No\r\ncontent-length: 2\r\n\r\nno" },
+    other_protocol = { "HTTP/1.1 101 No\r\n\r\nno" },
+    above_599 = { "HTTP/1.1 600 No\r\ncontent-length: 2\r\n\r\nno" },
+    largest = { "HTTP/1.1 999 No\r\ncontent-length: 2\r\n\r\nno" },
+)]
+fn service_answer_with_status_outside_of_protocol_is_broken(text: &'static str) {
+    let received = call_service(text, 1024, 1024, false);
+    assert!(matches!(received, Err(TargetError::Broken(_))), "{received:?}");
+}
+
+/// An engine that fails its health check with a report in the body was held to be well.
+#[parameterized(
+    failing = { "500 No", 0 },
+    above_599 = { "600 No", 0 },
+    cut = { "200 OK", 1 },
+)]
+fn status_of_engine_needs_complete_success(status: &str, missing_bytes: usize) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let report = EngineStatus { warm: true, ..EngineStatus::default() };
+    let report = serde_json::to_string(&report).unwrap();
+    let length = report.len() + missing_bytes;
+    let headers = format!("content-type: application/json\r\ncontent-length: {length}");
+    let text = format!("HTTP/1.1 {status}\r\n{headers}\r\n\r\n{report}");
+    let server = std::thread::spawn(move || answer(&listener, &text, 0, false));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let received = tokio::task::LocalSet::new()
+        .block_on(&runtime, async { TargetClient::open().status(&address).await });
+    server.join().unwrap().unwrap();
+    assert!(received.is_err(), "{received:?}");
+}
--- a/crates/ebonydock/src/vm/context.rs
+++ b/crates/ebonydock/src/vm/context.rs
@@ -286,7 +286,7 @@
     /// Opens the clients of the current thread.
     pub(crate) async fn open(shared: Arc<VmShared>) -> Rc<Self> {
         let platform = Rc::new(PlatformClient::open(&shared.settings.platform).await);
-        let targets = Rc::new(TargetClient::open().await);
+        let targets = Rc::new(TargetClient::open());
         Rc::new(Self {
             table: Rc::clone(&platform) as Rc<dyn TableStore>,
             objects: Rc::clone(&platform) as Rc<dyn ObjectStore>,
