--- a/crates/ebonydock/src/targets/http.rs
+++ b/crates/ebonydock/src/targets/http.rs
@@ -72,10 +72,9 @@
         Self { connections: ConnectionPool::default() }
     }
 
-    /// Sends a request and waits up to `timeout` for the head of its response.
-    ///
-    /// Each request gets a connection of its own: a pooled one may be closed by the target while the request is
-    /// sent, and after a cancelled response it must not be reused.
+    /// Sends a request of a caller over a connection of its own, and waits up to `timeout` for the head of the
+    /// response. A pooled connection may be closed by the target while the request is sent, and after a cancelled
+    /// response it must not be reused.
     async fn send(
         &self,
         address: &str,
@@ -83,37 +82,52 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<PooledResponse, TargetError> {
-        let body = Full::new(bytes::Bytes::from_owner(body));
-        let request = request.header(HOST, address).header(CONNECTION, "close");
-        let request = request.body(body).map_err(failed_response)?;
+        let request = encode_request(address, request.header(CONNECTION, "close"), body)?;
         let socket = resolve(address).await.map_err(send_error)?;
-        let response = self.connections.send_over_new(socket, request);
-        let response = tokio::time::timeout(timeout, response).await;
-        response
-            .map_err(|_| TargetError::Broken("no answer in time".to_owned()))?
-            .map_err(send_error)
+        response_in_time(self.connections.send_over_new(socket, request), timeout).await
+    }
+
+    /// Sends a request of this VM over a pooled connection.
+    async fn send_own(
+        &self,
+        address: &str,
+        request: http::request::Builder,
+        body: Bytes,
+    ) -> Result<PooledResponse, TargetError> {
+        let request = encode_request(address, request, body)?;
+        let socket = resolve(address).await.map_err(send_error)?;
+        response_in_time(self.connections.send(socket, request), RESPONSE_TIMEOUT).await
     }
 
     async fn get<T: DeserializeOwned>(&self, address: &str, path: &str) -> Result<T, TargetError> {
-        let response =
-            self.send(address, Request::get(path), Bytes::new(), RESPONSE_TIMEOUT).await?;
+        let response = self.send_own(address, Request::get(path), Bytes::new()).await?;
         if !response.head.status.is_success() {
             return Err(status_error(response).await);
         }
         serde_json::from_slice(&read_body(response.body).await?).map_err(failed_response)
     }
+}
 
-    async fn post_json(
-        &self,
-        address: &str,
-        path: &str,
-        body: &impl Serialize,
-        timeout: Duration,
-    ) -> Result<PooledResponse, TargetError> {
-        let body = serde_json::to_vec(body).map_err(failed_response)?;
-        let request = Request::post(path).header(CONTENT_TYPE, JSON);
-        self.send(address, request, Bytes::from(body), timeout).await
-    }
+fn encode_request(
+    address: &str,
+    request: http::request::Builder,
+    body: Bytes,
+) -> Result<Request<Full<bytes::Bytes>>, TargetError> {
+    let body = Full::new(bytes::Bytes::from_owner(body));
+    request.header(HOST, address).body(body).map_err(failed_response)
+}
+
+fn encode_json(body: &impl Serialize) -> Result<Bytes, TargetError> {
+    serde_json::to_vec(body).map(Bytes::from).map_err(failed_response)
+}
+
+async fn response_in_time(
+    response: impl Future<Output = Result<PooledResponse, SendError>>,
+    timeout: Duration,
+) -> Result<PooledResponse, TargetError> {
+    let response = tokio::time::timeout(timeout, response).await;
+    let late = |_| TargetError::Broken("no answer in time".to_owned());
+    response.map_err(late)?.map_err(send_error)
 }
 
 fn send_error(error: SendError) -> TargetError {
@@ -216,8 +230,9 @@
         request: &'a GenerateRequest,
     ) -> LocalBoxFuture<'a, Result<TokenStream, TargetError>> {
         Box::pin(async move {
-            let response =
-                self.post_json(address, "/v1/generate", request, RESPONSE_START_TIMEOUT).await?;
+            let head = Request::post("/v1/generate").header(CONTENT_TYPE, JSON);
+            let body = encode_json(request)?;
+            let response = self.send(address, head, body, RESPONSE_START_TIMEOUT).await?;
             if response.head.status != StatusCode::OK {
                 return Err(status_error(response).await);
             }
@@ -253,7 +268,8 @@
         command: &'a EngineCommand,
     ) -> LocalBoxFuture<'a, Result<(), TargetError>> {
         Box::pin(async move {
-            let response = self.post_json(address, "/orders", command, RESPONSE_TIMEOUT).await?;
+            let head = Request::post("/orders").header(CONTENT_TYPE, JSON);
+            let response = self.send_own(address, head, encode_json(command)?).await?;
             let is_accepted = response.head.status.is_success();
             if is_accepted { Ok(()) } else { Err(status_error(response).await) }
         })
