Platform: `ebonydockd` reads objects without a length to their end

Callers would see: a job whose inputs the object store sends without a length or chunks has no items and completes without a result. No stand-in sends such responses, so it was not seen.

Cause: the same as for services: the client of the server library reads the body of an HTTP/1.1 response without a length as empty.

Change: the platform's services are called over the pool of connections that the gateway uses, which keeps them. A call ends after 4 s as before. The other client is gone.

Evidence: `object_without_length_is_read_to_its_end` got `Ok([])` before; it reads the object now, and a reset one is unavailable.

--- a/crates/ebonydock/src/platform/http.rs
+++ b/crates/ebonydock/src/platform/http.rs
@@ -2,72 +2,64 @@
 
 use std::time::Duration;
 
+use form_urlencoded::Serializer;
 use futures_util::future::LocalBoxFuture;
-use ntex::client::{Client, ClientResponse, Connector};
-use ntex::http::StatusCode;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use ntex::util::Bytes;
 
+use crate::gateway::connections::resolve;
+use crate::gateway::{BodyBudget, ConnectionPool};
 use crate::ids::{ObjectName, RowKey};
 use crate::platform::{
     FleetListing, FleetSource, ObjectStore, PlatformError, PlatformResult, TableRow, TableStore,
     TableTransaction,
 };
 
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Limit for a whole call, including its connection.
+const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
-/// Maximum number of open connections per client. The schedulers limit the requests that run on a target
-/// to far fewer.
-const MAX_CONNECTIONS: usize = 65_536;
 
 /// HTTP client for the platform's table, object store and list of VMs and targets.
 pub struct PlatformClient {
-    client: Client,
-    base: String,
+    connections: ConnectionPool,
+    /// Host and port.
+    address: String,
 }
 
 impl PlatformClient {
     /// Opens a client for the services at `address` (`host:port`).
-    pub async fn open(address: &str) -> Self {
-        Self { client: http_client(CALL_TIMEOUT).await, base: format!("http://{address}") }
+    pub fn open(address: &str) -> Self {
+        Self { connections: ConnectionPool::default(), address: address.to_owned() }
     }
 
-    fn url(&self, path: &str) -> String {
-        format!("{}{path}", self.base)
+    async fn get(&self, path: &str) -> PlatformResult<Bytes> {
+        self.call(Request::get(path), Bytes::new()).await
     }
-}
 
-/// Builds an HTTP client with `timeout` for the response headers and again for the response body.
-pub(crate) async fn http_client(timeout: Duration) -> Client {
-    // Don't set the connection limit to 0 (unlimited): in this library, requests with `force_close` then
-    // wait forever.
-    Client::builder()
-        .connector::<()>(Connector::new().limit(MAX_CONNECTIONS))
-        .response_timeout(ntex::time::Millis(timeout.as_millis() as u32))
-        .disable_redirects()
-        .no_default_headers()
-        .response_payload_limit(MAX_BODY_BYTES)
-        .response_payload_timeout(ntex::time::Millis(timeout.as_millis() as u32))
-        .build(ntex::SharedCfg::default())
-        .await
-        .unwrap_or_else(|error| unreachable!("a plain connector always builds: {error}"))
+    /// Sends a request and returns the body of its response.
+    async fn call(&self, request: http::request::Builder, body: Bytes) -> PlatformResult<Bytes> {
+        let body = Full::new(bytes::Bytes::from_owner(body));
+        let request = request.header(HOST, &self.address).body(body);
+        let request = request.map_err(|error| PlatformError::Refused(error.to_string()))?;
+        let response = async {
+            let address = resolve(&self.address).await.map_err(unavailable)?;
+            let response = self.connections.send(address, request).await.map_err(unavailable)?;
+            let status = response.head.status;
+            let budget = BodyBudget::open(MAX_BODY_BYTES);
+            let body = response.body.read_all(MAX_BODY_BYTES, &budget).await;
+            check_status(status, body.map_err(unavailable)?)
+        };
+        tokio::time::timeout(CALL_TIMEOUT, response).await.map_err(unavailable)?
+    }
 }
 
 fn unavailable(error: impl std::fmt::Display) -> PlatformError {
     PlatformError::Unavailable(error.to_string())
 }
 
-/// Awaits the response to a call. The timeout covers the whole call because the library has no timeout
-/// for acquiring a connection.
-async fn response_body<E: std::fmt::Display>(
-    call: impl Future<Output = Result<ClientResponse, E>>,
-) -> PlatformResult<Bytes> {
-    let response = async { check_status(call.await.map_err(unavailable)?).await };
-    tokio::time::timeout(2 * CALL_TIMEOUT, response).await.map_err(unavailable)?
-}
-
-async fn check_status(response: ClientResponse) -> PlatformResult<Bytes> {
-    let status = response.status();
-    let body = response.body().await.map_err(unavailable)?;
+fn check_status(status: StatusCode, body: Bytes) -> PlatformResult<Bytes> {
     if status.is_success() {
         return Ok(body);
     }
@@ -81,6 +73,11 @@
     }
 }
 
+fn path_with_query(path: &str, fields: &[(&str, &str)]) -> String {
+    let query = Serializer::new(String::new()).extend_pairs(fields).finish();
+    format!("{path}?{query}")
+}
+
 fn parse_json<T: serde::de::DeserializeOwned>(body: &Bytes) -> PlatformResult<T> {
     serde_json::from_slice(body).map_err(unavailable)
 }
@@ -88,9 +85,8 @@
 impl TableStore for PlatformClient {
     fn read<'a>(&'a self, key: &'a RowKey) -> LocalBoxFuture<'a, PlatformResult<Option<TableRow>>> {
         Box::pin(async move {
-            let request = self.client.get(self.url("/table/row")).query(&[("key", key.as_str())]);
-            let request = request.map_err(unavailable)?;
-            parse_json(&response_body(request.send()).await?)
+            let path = path_with_query("/table/row", &[("key", key.as_str())]);
+            parse_json(&self.get(&path).await?)
         })
     }
 
@@ -102,10 +98,8 @@
     ) -> LocalBoxFuture<'a, PlatformResult<Vec<TableRow>>> {
         Box::pin(async move {
             let limit = limit.to_string();
-            let query = [("prefix", prefix), ("after", after), ("limit", limit.as_str())];
-            let request = self.client.get(self.url("/table/rows")).query(&query);
-            let request = request.map_err(unavailable)?;
-            parse_json(&response_body(request.send()).await?)
+            let fields = [("prefix", prefix), ("after", after), ("limit", limit.as_str())];
+            parse_json(&self.get(&path_with_query("/table/rows", &fields)).await?)
         })
     }
 
@@ -114,8 +108,10 @@
         transaction: &'a TableTransaction,
     ) -> LocalBoxFuture<'a, PlatformResult<u64>> {
         Box::pin(async move {
-            let request = self.client.post(self.url("/table/transact"));
-            parse_json(&response_body(request.send_json(transaction)).await?)
+            let body = serde_json::to_vec(transaction);
+            let body = body.map_err(|error| PlatformError::Refused(error.to_string()))?;
+            let request = Request::post("/table/transact").header(CONTENT_TYPE, "application/json");
+            parse_json(&self.call(request, Bytes::from(body)).await?)
         })
     }
 }
@@ -127,24 +123,17 @@
         body: Bytes,
     ) -> LocalBoxFuture<'a, PlatformResult<()>> {
         Box::pin(async move {
-            let request = self.client.put(self.url(&format!("/objects/{name}")));
-            response_body(request.send_body(body)).await.map(|_| ())
+            self.call(Request::put(format!("/objects/{name}")), body).await.map(|_| ())
         })
     }
 
     fn get<'a>(&'a self, name: &'a ObjectName) -> LocalBoxFuture<'a, PlatformResult<Bytes>> {
-        Box::pin(async move {
-            let request = self.client.get(self.url(&format!("/objects/{name}")));
-            response_body(request.send()).await
-        })
+        Box::pin(async move { self.get(&format!("/objects/{name}")).await })
     }
 }
 
 impl FleetSource for PlatformClient {
     fn fetch(&self) -> LocalBoxFuture<'_, PlatformResult<FleetListing>> {
-        Box::pin(async move {
-            let request = self.client.get(self.url("/fleet"));
-            parse_json(&response_body(request.send()).await?)
-        })
+        Box::pin(async move { parse_json(&self.get("/fleet").await?) })
     }
 }
--- a/crates/ebonydock/src/platform/tests.rs
+++ b/crates/ebonydock/src/platform/tests.rs
@@ -2,6 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
 use std::ops::Bound;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,9 +16,12 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::ids::{AttemptId, RowKey};
+use crate::ids::{AttemptId, ObjectName, RowKey};
 use crate::platform::durable::{WriteOutcome, decode_row, encode_row, write_once};
-use crate::platform::{PlatformError, PlatformResult, TableRow, TableStore, TableTransaction};
+use crate::platform::http::PlatformClient;
+use crate::platform::{
+    ObjectStore, PlatformError, PlatformResult, TableRow, TableStore, TableTransaction,
+};
 
 /// In-memory table with delayed calls. It loses some calls before they take effect and the responses
 /// of others afterwards.
@@ -202,3 +207,38 @@
         });
     }
 }
+
+/// Reads an object from a server that sends this response and resets the connection if `resets` is set.
+fn read_object(response: &'static str, resets: bool) -> PlatformResult<Vec<u8>> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let server = std::thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut line = String::new();
+        while reader.read_line(&mut line).unwrap() > 2 {
+            line.clear();
+        }
+        (&stream).write_all(response.as_bytes()).unwrap();
+        if resets {
+            std::thread::sleep(Duration::from_millis(2));
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let object = tokio::task::LocalSet::new().block_on(&runtime, async {
+        let client = PlatformClient::open(&address);
+        client.get(&ObjectName::from("jobs/j1/in")).await.map(|body| body.to_vec())
+    });
+    server.join().unwrap();
+    object
+}
+
+/// The inputs of a job were taken for empty when they came without a length.
+#[test]
+fn object_without_length_is_read_to_its_end() {
+    let response = "HTTP/1.1 200 OK\r\n\r\nthe first part";
+    assert_eq!(read_object(response, false), Ok(b"the first part".to_vec()));
+    let broken = read_object(response, true);
+    assert!(matches!(broken, Err(PlatformError::Unavailable(_))), "{broken:?}");
+}
--- a/crates/ebonydock/src/vm/context.rs
+++ b/crates/ebonydock/src/vm/context.rs
@@ -284,8 +284,8 @@
 
 impl VmContext {
     /// Opens the clients of the current thread.
-    pub(crate) async fn open(shared: Arc<VmShared>) -> Rc<Self> {
-        let platform = Rc::new(PlatformClient::open(&shared.settings.platform).await);
+    pub(crate) fn open(shared: Arc<VmShared>) -> Rc<Self> {
+        let platform = Rc::new(PlatformClient::open(&shared.settings.platform));
         let targets = Rc::new(TargetClient::open());
         Rc::new(Self {
             table: Rc::clone(&platform) as Rc<dyn TableStore>,
--- a/crates/ebonydock/src/vm/handle.rs
+++ b/crates/ebonydock/src/vm/handle.rs
@@ -147,7 +147,7 @@
             return;
         }
     };
-    let context = VmContext::open(Arc::clone(&shared)).await;
+    let context = VmContext::open(Arc::clone(&shared));
     let leaders = Rc::new(JobLeaders::default());
     let handler = Rc::new(PeerHandler::open(&context));
     ntex::rt::spawn(shared.peers.clone().serve(handler));
@@ -190,7 +190,7 @@
 fn serve_callers(shared: &Arc<VmShared>, listener: TcpListener) -> std::io::Result<RunningServer> {
     let shared = Arc::clone(shared);
     let server = HttpServer::new(async move || {
-        let context = VmContext::open(Arc::clone(&shared)).await;
+        let context = VmContext::open(Arc::clone(&shared));
         App::new()
             .state(context)
             .configure(entry::configure)
@@ -206,7 +206,7 @@
 ) -> std::io::Result<RunningServer> {
     let shared = Arc::clone(shared);
     let server = HttpServer::new(async move || {
-        let context = VmContext::open(Arc::clone(&shared)).await;
+        let context = VmContext::open(Arc::clone(&shared));
         App::new()
             .state(context)
             .configure(operators::configure)
