Gateway: a VM whose feed lost its history refuses with 503, too

Callers saw: a 404 or 401 for a route or key that had just been added, from a VM that reads all operators' records again because the store no longer keeps the changes. The read may take seconds while the store is slow.

Cause: such a VM counted as following the records until its last response was 2 s old.

Change: lost history is a gap like a failed call, until the store's next response.

--- a/crates/ebonydock/src/gateway/followers.rs
+++ b/crates/ebonydock/src/gateway/followers.rs
@@ -150,8 +150,8 @@
 pub(crate) struct FollowerProgress {
     version: Cell<u64>,
     responded_at: Cell<Option<Duration>>,
-    /// Whether the last call failed.
-    has_failed: Cell<bool>,
+    /// Whether changes may have been missed: the last call failed, or the store no longer keeps them.
+    has_gap: Cell<bool>,
 }
 
 impl FollowerProgress {
@@ -167,7 +167,7 @@
 
     /// Returns whether the follower waits for changes after such a response, so that it misses none.
     pub(crate) fn is_following(&self, now: Duration, max_age: Duration) -> bool {
-        !self.has_failed.get() && self.is_fresh(now, max_age)
+        !self.has_gap.get() && self.is_fresh(now, max_age)
     }
 }
 
@@ -224,6 +224,7 @@
                 let page = self.core.rows.feed(self.table, version, self.pacing.wait()).await;
                 if page == Err(RowError::HistoryLost) {
                     log::info!(table = self.table, version = version; "store history lost");
+                    self.progress.has_gap.set(true);
                     // The missing history may cover an outage in which entries expired.
                     self.unavailable_since.get_or_insert_with(monotonic);
                     break;
@@ -270,7 +271,7 @@
                 Some(value)
             }
             Err(error) => {
-                self.progress.has_failed.set(true);
+                self.progress.has_gap.set(true);
                 if self.unavailable_since.is_none() {
                     self.unavailable_since = Some(monotonic());
                     log::warn!(table = self.table, error = error.to_string(); "store lost");
@@ -286,7 +287,7 @@
     fn record_response(&mut self) -> Option<Duration> {
         let now = monotonic();
         self.progress.responded_at.set(Some(now));
-        self.progress.has_failed.set(false);
+        self.progress.has_gap.set(false);
         let lost = self.unavailable_since.take()?;
         let away = now.saturating_sub(lost).as_millis() as u64;
         log::info!(table = self.table, away_ms = away; "store back");
--- a/crates/ebonydock/src/gateway/tests/configurations.rs
+++ b/crates/ebonydock/src/gateway/tests/configurations.rs
@@ -140,13 +140,25 @@
     });
 }
 
+/// How a VM misses changes of the operators' records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FeedLoss {
+    /// The store refuses all calls.
+    Refused,
+    /// The feed stalls without an error.
+    Silent,
+    /// The store no longer keeps the changes, and the read of all records takes long.
+    Forgotten,
+}
+
 /// A VM that the store does not serve refused routes and keys that others knew already with 404 and 401, which
 /// callers do not repeat elsewhere.
 #[parameterized(
-    refusing = { true },
-    silent = { false },
+    refused = { FeedLoss::Refused },
+    silent = { FeedLoss::Silent },
+    forgotten = { FeedLoss::Forgotten },
 )]
-fn route_or_key_that_may_be_new_is_not_refused_for_good(refuses: bool) {
+fn route_or_key_that_may_be_new_is_not_refused_for_good(loss: FeedLoss) {
     run(async move {
         let targets = FakeTargets::open(|_, _| TargetBehavior::Whole(200, "whole"));
         let site = FakeSite::open(targets);
@@ -158,16 +170,20 @@
         };
         assert_eq!(reason("/evening/1", "secret").await, Some(RefusalReason::NoRoute));
         assert_eq!(reason("/safe/1", "new").await, Some(RefusalReason::BadKey));
-        if refuses {
-            site.store.refuses.set(true);
-        } else {
-            site.store.silent_table.set("operators");
+        match loss {
+            FeedLoss::Refused => site.store.refuses.set(true),
+            FeedLoss::Silent => site.store.silent_table.set("operators"),
+            FeedLoss::Forgotten => {
+                site.store.forgotten_table.set("operators");
+                site.store.slow_table.set("operators");
+            }
         }
         let mut newer = config(2, vec![route("evening", "/evening/", RouteClass::Idempotent)]);
         newer.workspaces.as_mut().unwrap()[0].keys.push(KeyHash::of("new"));
         site.configure(newer);
         // Shorter than a silent feed request takes to fail.
-        tokio::time::sleep(Duration::from_millis(if refuses { 50 } else { 2050 })).await;
+        let is_silent = loss == FeedLoss::Silent;
+        tokio::time::sleep(Duration::from_millis(if is_silent { 2050 } else { 50 })).await;
         assert_eq!(reason("/evening/1", "secret").await, Some(RefusalReason::MayBeOutdated));
         assert_eq!(reason("/safe/1", "new").await, Some(RefusalReason::MayBeOutdated));
         let refused = gateway.submit_job(submission_on("evening", "j1")).await;
--- a/crates/ebonydock/src/gateway/tests/fakes.rs
+++ b/crates/ebonydock/src/gateway/tests/fakes.rs
@@ -51,6 +51,8 @@
     pub(super) slow_table: Cell<&'static str>,
     /// The table whose feeds stall, as on a connection that breaks without an error.
     pub(super) silent_table: Cell<&'static str>,
+    /// The table whose next feed request fails because the store no longer keeps the changes.
+    pub(super) forgotten_table: Cell<&'static str>,
     /// Whether every call is refused.
     pub(super) refuses: Cell<bool>,
 }
@@ -231,6 +233,10 @@
                 if self.refuses.get() {
                     return Err(RowError::Refused("busy".to_owned()));
                 }
+                if self.forgotten_table.get() == table {
+                    self.forgotten_table.set("");
+                    return Err(RowError::HistoryLost);
+                }
                 if self.silent_table.get() == table {
                     tokio::time::sleep_until(until + Duration::from_secs(1)).await;
                     return Err(RowError::Unknown("no response".to_owned()));
