Platform: the head of a response must arrive within 2 s again

Cause: when `ebonydockd` changed to the pool of connections, the limit for the head of a response was lost, and a stalled call of the platform ended after 4 s.

Change: both limits are as they were before.

Result: the 13 tests of targets and platform pass; a stalled response is not among them.

--- a/crates/ebonydock/src/platform/http.rs
+++ b/crates/ebonydock/src/platform/http.rs
@@ -17,7 +17,9 @@
     TableTransaction,
 };
 
-/// Limit for a whole call, including its connection.
+/// Limit for the head of a response, including the connection.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Limit for a whole call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -45,7 +47,9 @@
         let request = request.map_err(|error| PlatformError::Refused(error.to_string()))?;
         let response = async {
             let address = resolve(&self.address).await.map_err(unavailable)?;
-            let response = self.connections.send(address, request).await.map_err(unavailable)?;
+            let response = self.connections.send(address, request);
+            let response = tokio::time::timeout(RESPONSE_TIMEOUT, response).await;
+            let response = response.map_err(unavailable)?.map_err(unavailable)?;
             let status = response.head.status;
             let budget = BodyBudget::open(MAX_BODY_BYTES);
             let body = response.body.read_all(MAX_BODY_BYTES, &budget).await;
