Tests: the endless engine answers a request, not the connection

Cause: the stand-in of event_without_end_fails_and_closes_connection wrote its answer as soon as it had accepted the connection.

Change: the stand-in reads the head of the request first. What the test asserts is unchanged; that an answer without a request is none is stricter than before.

--- a/crates/ebonydock/src/targets/tests.rs
+++ b/crates/ebonydock/src/targets/tests.rs
@@ -16,12 +16,17 @@
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
-fn serve_one(mut stream: &TcpStream) -> std::io::Result<()> {
+fn read_head(stream: &TcpStream) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut line = String::new();
     while reader.read_line(&mut line)? > 2 {
         line.clear();
     }
+    Ok(())
+}
+
+fn serve_one(mut stream: &TcpStream) -> std::io::Result<()> {
+    read_head(stream)?;
     stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok")
 }
 
@@ -63,6 +68,7 @@
     let (sender, closed) = channel();
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
+        read_head(&stream).unwrap();
         let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
             transfer-encoding: chunked\r\n\r\n6\r\ndata: \r\n";
         let chunk = format!("400\r\n{}\r\n", "x".repeat(1024));
