Review: case 14 is now the loss of machines while allowances are used

What a machine accepts or takes over is not held against its memory.

Added: the scenario and its script in place of the earlier one. The stand-in servers name themselves in a 421, as the examples of the wire do.

--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -702,10 +702,6 @@
         lock(&PROCESSES)[self.process].id()
     }
 
-    fn has_ended(&self) -> bool {
-        lock(&PROCESSES)[self.process].try_wait().is_ok_and(|status| status.is_some())
-    }
-
     /// Ends the process as the platform does with one that exceeds its memory.
     fn kill(&self) {
         let process = &mut lock(&PROCESSES)[self.process];
@@ -727,11 +723,6 @@
         Err(format!("{} did not become ready", self.name))
     }
 
-    fn signal(&self, name: &str) -> CaseResult<()> {
-        let status = Command::new("kill").arg(format!("-{name}")).arg(self.id().to_string()).status();
-        status.map_err(|error| error.to_string()).map(|_| ())
-    }
-
     /// Resident memory of the process in KB.
     fn memory_kb(&self) -> Option<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
@@ -742,26 +733,25 @@
 
 // ----------------------------------------------------------------------------------------------------- servers
 
-/// How a server answers.
-#[derive(Clone)]
-enum Work {
-    /// Streams this many events with these data bytes each: the first one after `first_ms`, then one per interval.
-    Stream { events: u64, data_bytes: usize, first_ms: u64, interval_ms: u64 },
-    /// A plain body of this many bytes.
-    Plain { bytes: usize },
+/// What a server streams: so many events with these data bytes each, the first one after `first_ms`, then one per
+/// interval.
+#[derive(Clone, Copy)]
+struct Stream {
+    events: u64,
+    data_bytes: usize,
+    first_ms: u64,
+    interval_ms: u64,
 }
 
 #[derive(Clone)]
 struct ServerPlan {
     service: String,
-    work: Work,
+    stream: Stream,
     slots: usize,
     /// A part of a prompt that crashes the server as it begins to write the answer.
     crashing_part: Option<String>,
     /// Whether the first event is written before it crashes.
     writes_before_crash: bool,
-    /// Version of the weights.
-    weights: u64,
 }
 
 /// One arrival of a request at a server.
@@ -894,22 +884,17 @@
 
     fn answer(&self, state: &Arc<ServerState>, request: &Message, stream: &mut TcpStream) -> std::io::Result<()> {
         let id = request.header("ebonydock-request-id").unwrap_or_default().to_owned();
-        let weights = self.plan.weights.to_string();
         let refuse = |status: &str| {
             let headers = [
                 ("Ebonydock-Request-Id", id.as_str()),
                 ("Ebonydock-Not-Executed", "1"),
-                ("Ebonydock-Weight-Versions", weights.as_str()),
+                ("Ebonydock-Instance-Id", state.id.as_str()),
             ];
             encode_message(&format!("HTTP/1.1 {status}"), &headers, b"")
         };
         if request.header("ebonydock-target-instance").is_some_and(|named| named != state.id) {
             return stream.write_all(&refuse("421 Misdirected Request"));
         }
-        if request.header("ebonydock-required-version").is_some_and(|required| required != weights) {
-            self.record.add(format!("server {} answers 421 to {id}: other weights", state.id));
-            return stream.write_all(&refuse("421 Misdirected Request"));
-        }
         let prefix = request.header("ebonydock-prompt-prefix").unwrap_or_default();
         let parts = prefix.split(',').filter_map(|entry| entry.split_once(':'));
         let tokens: u64 = parts.filter_map(|(_, tokens)| tokens.parse::<u64>().ok()).sum();
@@ -924,42 +909,34 @@
             .is_some_and(|part| prefix.split(',').any(|entry| entry.split(':').next() == Some(part.as_str())));
         lock(&self.log).arrivals.push(Arrival { at: seconds(), request: id.clone(), has_crashing_part: is_crashing });
         let seal = format!("Ebonydock-Request-Id: {id}\r\nEbonydock-Response-Seal: {id}.seal\r\n");
-        match self.plan.work {
-            Work::Plain { bytes } => {
-                let head = format!("HTTP/1.1 200 OK\r\n{seal}Content-Length: {bytes}\r\n\r\n");
-                stream.write_all(head.as_bytes())?;
-                stream.write_all(&vec![b'x'; bytes])?;
+        let Stream { events, data_bytes, first_ms, interval_ms } = self.plan.stream;
+        let first: u64 = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0) + 1;
+        sleep_ms(first_ms);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{seal}Content-Type: text/event-stream\r\n\
+                     Ebonydock-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
+        if is_crashing && !self.plan.writes_before_crash {
+            self.crash(state, &id);
+            return Ok(());
+        }
+        stream.write_all(head.as_bytes())?;
+        for event in first..=events {
+            let data = event_data(&id, event, data_bytes);
+            let text = format!("id: {event}\ndata: {data}\n\n");
+            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+            if is_crashing {
+                // The bytes are on their way when the process ends.
+                sleep_ms(2);
+                self.crash(state, &id);
+                return Ok(());
             }
-            Work::Stream { events, data_bytes, first_ms, interval_ms } => {
-                let first: u64 = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0) + 1;
-                sleep_ms(first_ms);
-                let head = format!(
-                    "HTTP/1.1 200 OK\r\n{seal}Content-Type: text/event-stream\r\n\
-                     Ebonydock-Weight-Versions: {weights}\r\nTransfer-Encoding: chunked\r\n\r\n"
-                );
-                if is_crashing && !self.plan.writes_before_crash {
-                    self.crash(state, &id);
-                    return Ok(());
-                }
-                stream.write_all(head.as_bytes())?;
-                for event in first..=events {
-                    let data = event_data(&id, event, data_bytes);
-                    let text = format!("id: {event}\ndata: {data}\n\n");
-                    stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
-                    if is_crashing {
-                        // The bytes are on their way when the process ends.
-                        sleep_ms(2);
-                        self.crash(state, &id);
-                        return Ok(());
-                    }
-                    if !state.is_up.load(Ordering::SeqCst) {
-                        return Ok(());
-                    }
-                    sleep_ms(interval_ms);
-                }
-                stream.write_all(b"0\r\n\r\n")?;
+            if !state.is_up.load(Ordering::SeqCst) {
+                return Ok(());
             }
+            sleep_ms(interval_ms);
         }
+        stream.write_all(b"0\r\n\r\n")?;
         *lock(&self.log).answered.entry(id).or_default() += 1;
         Ok(())
     }
@@ -1166,11 +1143,10 @@
     let mut site = Site::open(record, folder)?;
     let plan = ServerPlan {
         service: "dele69a".to_owned(),
-        work: Work::Stream { events: 18, data_bytes: 70, first_ms: 20, interval_ms: 8 },
+        stream: Stream { events: 18, data_bytes: 70, first_ms: 20, interval_ms: 8 },
         slots: 8,
         crashing_part: Some(BAD_PART.to_owned()),
         writes_before_crash,
-        weights: 1,
     };
     let route = |name, can_resume| RoutePlan {
         name,
@@ -1272,11 +1248,10 @@
     let mut site = Site::open(record, folder)?;
     let plan = ServerPlan {
         service: "dele69a".to_owned(),
-        work: Work::Stream { events: 126, data_bytes: 70, first_ms: 20, interval_ms: 8 },
+        stream: Stream { events: 126, data_bytes: 70, first_ms: 20, interval_ms: 8 },
         slots: 8,
         crashing_part: Some(BAD_PART.to_owned()),
         writes_before_crash: std::env::var("CRASH").map_or(true, |value| value != "head"),
-        weights: 1,
     };
     let routes = [RoutePlan {
         name: "scene",
@@ -1359,78 +1334,6 @@
     }
 }
 
-/// A planned stop while a client reads an answer slowly. Does the client get the whole answer?
-fn slow_reader_at_stop(record: &Record, folder: &Path) -> CaseResult<bool> {
-    let bytes = std::env::var("BYTES").ok().and_then(|value| value.parse().ok()).unwrap_or(800_000);
-    let seconds_to_read = 5.0;
-    let mut site = Site::open(record, folder)?;
-    let plan = ServerPlan {
-        service: "xano55b".to_owned(),
-        work: Work::Plain { bytes },
-        slots: 6,
-        crashing_part: None,
-        writes_before_crash: false,
-        weights: 1,
-    };
-    let routes = [RoutePlan {
-        name: "tile",
-        kind: "safe",
-        service: "xano55b",
-        timeout_ms: 10_000,
-        max_attempts: 2,
-        can_resume: false,
-    }];
-    site.store.put("op", "config", &config_json(3, &routes, &["xano55b"]));
-    site.add_servers(3, &plan)?;
-    site.add_gateways(2, &MachineSettings { memory_mb: 300, max_fds: 8200, grace_s: 8 })?;
-    let id = site.new_id("a1");
-    let mut stream = connect_slow(site.gateways[0].front, 8 * 1024)?;
-    let headers = [
-        ("Host", HOST),
-        ("Authorization", KEY),
-        ("Ebonydock-Request-Id", id.as_str()),
-        ("Ebonydock-Deadline-Ms", "10000"),
-    ];
-    let request = encode_message("POST /tile/2f HTTP/1.1", &headers, b"question");
-    stream.write_all(&request).map_err(|error| error.to_string())?;
-    let sent_at = seconds();
-    site.record.add(format!("request {id} is sent to front-0; the client reads {bytes} bytes in {seconds_to_read} s"));
-    let _ = stream.set_read_timeout(Some(Duration::from_secs(12)));
-    let mut reader = MessageReader::open(stream);
-    let head = reader.head().ok().flatten().ok_or("no answer")?;
-    site.record.add(format!("the client gets the head: {}", head.status));
-    if head.status != 200 {
-        return Err(format!("status {}", head.status));
-    }
-    if site.has_trouble {
-        sleep_ms(200);
-        site.gateways[0].signal("TERM")?;
-        site.record.add("front-0 gets SIGTERM");
-    }
-    let per_step = bytes / 100;
-    let mut received = reader.buffer.len();
-    let mut piece = vec![0_u8; per_step];
-    let end = loop {
-        if received >= bytes {
-            break "complete".to_owned();
-        }
-        match reader.stream.read(&mut piece) {
-            Ok(0) => break "the connection was closed".to_owned(),
-            Ok(length) => received += length,
-            Err(error) => break error.to_string(),
-        }
-        sleep_ms((seconds_to_read * 10.0) as u64);
-    };
-    let ran = lock(&site.log).arrivals.iter().filter(|arrival| arrival.request == id).count();
-    let exited = site.gateways[0].has_ended();
-    site.record.add(format!(
-        "{:.1} s after the request: {received} of {bytes} bytes, {end}; it reached a server {ran} times; front-0 has {}",
-        seconds() - sent_at,
-        if exited { "exited" } else { "not exited" }
-    ));
-    Ok(received < bytes)
-}
-
 /// Clients of a tenant read the results of its job slowly. Do the machines stay within their memory? The platform kills
 /// a process that exceeds it and starts it again; the rule is broken if two processes end three times each.
 fn slow_readers_of_results(record: &Record, folder: &Path) -> CaseResult<bool> {
@@ -1439,11 +1342,10 @@
     let mut site = Site::open(record, folder)?;
     let plan = ServerPlan {
         service: "dele69a".to_owned(),
-        work: Work::Stream { events: 126, data_bytes: 70, first_ms: 20, interval_ms: 1 },
+        stream: Stream { events: 126, data_bytes: 70, first_ms: 20, interval_ms: 1 },
         slots: 8,
         crashing_part: None,
         writes_before_crash: false,
-        weights: 1,
     };
     let routes = [RoutePlan {
         name: "scene",
@@ -1534,6 +1436,121 @@
     Ok(false)
 }
 
+// ---------------------------------------------------------------------------------------- case: full allowances
+
+/// All tenants use their allowance of waiting tokens, then half of the machines are lost. Do the others stay within their
+/// memory? The platform kills a process that exceeds it and starts it again.
+fn full_allowances(record: &Record, folder: &Path) -> CaseResult<bool> {
+    const MEMORY_MB: u64 = 88;
+    const TENANTS: usize = 4;
+    const CAP_TOKENS: usize = 2_900_000;
+    const ITEM_TOKENS: usize = 545;
+    const BODY_BYTES: usize = 1500;
+    let mut site = Site::open(record, folder)?;
+    let plan = ServerPlan {
+        service: "dele69a".to_owned(),
+        stream: Stream { events: 130, data_bytes: 70, first_ms: 20, interval_ms: 6 },
+        slots: 8,
+        crashing_part: None,
+        writes_before_crash: false,
+    };
+    let routes = [RoutePlan {
+        name: "scene",
+        kind: "batch",
+        service: "dele69a",
+        timeout_ms: 15000,
+        max_attempts: 3,
+        can_resume: true,
+    }];
+    let config = config_json(3, &routes, &["dele69a"]).replace("\"cap\":3600000", &format!("\"cap\":{CAP_TOKENS}"));
+    let start = config.find("\"tenants\":").ok_or("no tenants")?;
+    let tenants: Vec<String> = (0..TENANTS)
+        .map(|tenant| {
+            format!("{{\"name\":\"huka27{tenant}\",\"api_keys\":[\"key{tenant}\"],\"rate_per_s\":0,\"burst\":0}}")
+        })
+        .collect();
+    let config = format!("{}\"tenants\":[{}]}}", &config[..start], tenants.join(","));
+    site.store.put("op", "config", &config);
+    site.add_servers(9, &plan)?;
+    site.add_gateways(4, &MachineSettings { memory_mb: MEMORY_MB, max_fds: 4100, grace_s: 8 })?;
+    let body = base64(&[b'q'; BODY_BYTES]);
+    let mut accepted = 0;
+    // Four clients at once, each at a machine of its own; jobs of ten items, up to the allowance.
+    let statuses: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
+    let clients = (0..4).map(|gateway| {
+        let (front, statuses, body) = (site.gateways[gateway].front, Arc::clone(&statuses), body.clone());
+        thread::spawn(move || {
+            for number in 0..CAP_TOKENS / ITEM_TOKENS / 10 * TENANTS / 4 {
+                let tenant = number % TENANTS;
+                let job = format!("c3{gateway}{number:05}");
+                let requests: Vec<String> = (0..10)
+                    .map(|item| {
+                        format!(
+                            "{{\"id\":\"{job}.{item}\",\"path\":\"/scene/3/91c4\",\"headers\":{{\"Ebonydock-Model\":\
+                             \"m\",\"Ebonydock-Token-Count\":\"350,195\",\"Ebonydock-Prompt-Prefix\":\
+                             \"5c1e07a2:100,{number:x}{item}abc:250\"}},\"body\":\"{body}\",\"tokens\":{ITEM_TOKENS}}}"
+                        )
+                    })
+                    .collect();
+                let submission = format!("{{\"requests\":[{}]}}", requests.join(","));
+                let key = format!("Bearer key{tenant}");
+                let headers = [
+                    ("Host", HOST),
+                    ("Authorization", key.as_str()),
+                    ("Ebonydock-Request-Id", job.as_str()),
+                    ("Content-Type", "application/json"),
+                ];
+                let submission = submission.as_bytes();
+                let outcome = call(front, "POST", "/scene/7c41e0", &headers, submission, Duration::from_secs(6));
+                *lock(&statuses).entry(outcome.status).or_default() += 1;
+            }
+        })
+    });
+    for client in clients.collect::<Vec<_>>() {
+        let _ = client.join();
+    }
+    for (status, count) in lock(&statuses).iter() {
+        site.record.add(format!("{count} jobs of 10 items got {status}"));
+        accepted += if *status == 202 { *count } else { 0 };
+    }
+    if accepted < 1000 {
+        return Err(format!("only {accepted} jobs were accepted"));
+    }
+    let used =
+        |site: &Site| -> Vec<u64> { site.gateways.iter().map(|gateway| gateway.memory_kb().unwrap_or(0)).collect() };
+    site.record.add(format!("memory of the machines in KB: {:?}; limit {}", used(&site), MEMORY_MB * 1024));
+    if site.has_trouble {
+        for gateway in 2..4 {
+            site.gateways[gateway].kill();
+            site.record.add(format!("front-{gateway} is lost for good"));
+        }
+    }
+    let survivors = if site.has_trouble { 2 } else { 4 };
+    let mut ends = vec![0; survivors];
+    let mut logged_at = 0.0;
+    let ends_at = seconds() + 75.0;
+    while seconds() < ends_at && !ends.iter().all(|ends| *ends >= 3) {
+        for (number, ends) in ends.iter_mut().enumerate() {
+            let gateway = &site.gateways[number];
+            let used = gateway.memory_kb().unwrap_or(0);
+            if used > MEMORY_MB * 1024 {
+                gateway.kill();
+                *ends += 1;
+                site.record.add(format!("front-{number} uses {used} KB; the platform kills it and starts it again"));
+                sleep_ms(300);
+                gateway.start_again()?;
+            }
+        }
+        if seconds() > logged_at + 2.0 {
+            logged_at = seconds();
+            site.record.add(format!("memory of the machines in KB: {:?}", used(&site)));
+        }
+        sleep_ms(20);
+    }
+    site.record.add(format!("ends by memory of the machines that were not lost: {ends:?}"));
+    Ok(ends.iter().filter(|ends| **ends >= 3).count() >= 2)
+}
+
 // ------------------------------------------------------------------------------------------ case: lost service
 
 /// The servers of a service in all zones end at the same moment and are back together after 3 s. Is a job that was accepted before, or one that
@@ -1542,11 +1559,10 @@
     let mut site = Site::open(record, folder)?;
     let plan = ServerPlan {
         service: "dele69a".to_owned(),
-        work: Work::Stream { events: 27, data_bytes: 70, first_ms: 100, interval_ms: 6 },
+        stream: Stream { events: 27, data_bytes: 70, first_ms: 100, interval_ms: 6 },
         slots: 8,
         crashing_part: None,
         writes_before_crash: false,
-        weights: 1,
     };
     let routes = [
         RoutePlan {
@@ -1672,7 +1688,7 @@
     let played = match case.as_str() {
         "crashing-part" => crashing_part(&record, &temporary),
         "crashing-item" => crashing_item(&record, &temporary),
-        "slow-reader-at-stop" => slow_reader_at_stop(&record, &temporary),
+        "full-allowances" => full_allowances(&record, &temporary),
         "lost-service" => lost_service(&record, &temporary),
         "slow-readers-of-results" => slow_readers_of_results(&record, &temporary),
         _ => Err(format!("no case `{case}`")),
