--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -326,7 +326,9 @@
                 let Some(end) = self.line_end() else { return false };
                 let line = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
                 self.buffer.drain(..end + 2);
-                let Ok(size) = usize::from_str_radix(line.trim(), 16) else { return false };
+                let Ok(size) = usize::from_str_radix(line.trim(), 16) else {
+                    return false;
+                };
                 while self.buffer.len() < size + 2 {
                     if !self.fill().unwrap_or(false) {
                         return false;
@@ -407,7 +409,9 @@
     timeout: Duration,
 ) -> CallOutcome {
     let failed = || CallOutcome { status: 0, message: Message::default(), is_complete: false };
-    let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return failed() };
+    let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
+        return failed();
+    };
     let _ = stream.set_read_timeout(Some(timeout));
     let _ = stream.set_nodelay(true);
     let request = encode_message(&format!("{method} {path} HTTP/1.1"), headers, body);
@@ -415,7 +419,9 @@
     if reader.stream.write_all(&request).is_err() {
         return failed();
     }
-    let Ok(Some(mut message)) = reader.head() else { return failed() };
+    let Ok(Some(mut message)) = reader.head() else {
+        return failed();
+    };
     let is_complete = reader.body(&mut message, true, |_| {});
     CallOutcome { status: message.status, message, is_complete }
 }
@@ -453,6 +459,9 @@
     /// Changes by version: the row, and its value unless it was deleted.
     changes: Vec<(u64, RowKey, Option<String>)>,
     version: u64,
+    /// Reading and writing calls of the current second, and calls refused since the start.
+    window: (u64, [u64; 2]),
+    refused: u64,
 }
 
 /// The platform's store.
@@ -460,6 +469,8 @@
 struct Store {
     state: Arc<(Mutex<StoreState>, Condvar)>,
     address: SocketAddr,
+    /// Reading and writing calls a second of all machines together.
+    rates: [u64; 2],
 }
 
 fn row_json(key: &RowKey, value: Option<&str>, version: u64) -> String {
@@ -468,10 +479,10 @@
 }
 
 impl Store {
-    fn open() -> CaseResult<Self> {
+    fn open(rates: [u64; 2]) -> CaseResult<Self> {
         let listener = TcpListener::bind(loopback(free_port())).map_err(|error| error.to_string())?;
         let address = listener.local_addr().map_err(|error| error.to_string())?;
-        let store = Self { state: Arc::default(), address };
+        let store = Self { state: Arc::default(), address, rates };
         let own = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -499,7 +510,24 @@
         }
     }
 
+    /// Counts a call and returns whether it is within the rates.
+    fn admit(&self, is_write: bool) -> bool {
+        let mut state = lock(&self.state.0);
+        let second = seconds() as u64;
+        if state.window.0 != second {
+            state.window = (second, [0; 2]);
+        }
+        let kind = usize::from(is_write);
+        state.window.1[kind] += 1;
+        let is_within = state.window.1[kind] <= self.rates[kind];
+        state.refused += u64::from(!is_within);
+        is_within
+    }
+
     fn answer(&self, request: &Message) -> (u16, String) {
+        if !self.admit(request.path() == "/api/rows-tx") {
+            return (429, "{\"error\":\"too many calls\"}".to_owned());
+        }
         let (status, rows, has_more) = match request.path() {
             "/api/rows-tx" => match Json::parse(&request.body) {
                 Some(body) => self.transact(&body),
@@ -1044,12 +1072,17 @@
 
 impl Site {
     fn open(record: &Record, folder: &Path) -> CaseResult<Self> {
+        Self::open_with_rates(record, folder, [2000, 800])
+    }
+
+    /// Opens a site whose store takes so many reading and writing calls a second.
+    fn open_with_rates(record: &Record, folder: &Path, rates: [u64; 2]) -> CaseResult<Self> {
         let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
         record.add(format!("case begins, {} the disruption", if has_trouble { "with" } else { "without" }));
         Ok(Self {
             record: record.clone(),
             folder: folder.to_owned(),
-            store: Store::open()?,
+            store: Store::open(rates)?,
             log: Arc::default(),
             servers: Vec::new(),
             gateways: Vec::new(),
@@ -1312,7 +1345,9 @@
 /// Connects as a client on a real network does: with packets of 1,460 bytes instead of the 64 KB of the loopback device,
 /// and with a small receive buffer, as a client has that reads slowly.
 fn connect_slow(address: SocketAddr, buffer: i32) -> CaseResult<TcpStream> {
-    let SocketAddr::V4(v4) = address else { return Err("no IPv4 address".to_owned()) };
+    let SocketAddr::V4(v4) = address else {
+        return Err("no IPv4 address".to_owned());
+    };
     let mut raw = [0_u8; 16];
     raw[..2].copy_from_slice(&(AF_INET as u16).to_ne_bytes());
     raw[2..4].copy_from_slice(&v4.port().to_be_bytes());
@@ -1417,7 +1452,9 @@
             let _ = reader.set_nonblocking(true);
             let _ = reader.read(&mut bytes);
         }
-        let Some(used) = gateway.memory_kb() else { return Err("the process has ended by itself".to_owned()) };
+        let Some(used) = gateway.memory_kb() else {
+            return Err("the process has ended by itself".to_owned());
+        };
         peak = peak.max(used);
         if readers.len() % 10 == 0 {
             site.record.add(format!("{} clients of front-{number} read slowly; it uses {used} KB", readers.len()));
@@ -1446,7 +1483,7 @@
     const CAP_TOKENS: usize = 2_900_000;
     const ITEM_TOKENS: usize = 545;
     const BODY_BYTES: usize = 1500;
-    let mut site = Site::open(record, folder)?;
+    let mut site = Site::open_with_rates(record, folder, [6000, 1500])?;
     let plan = ServerPlan {
         service: "dele69a".to_owned(),
         stream: Stream { events: 130, data_bytes: 70, first_ms: 20, interval_ms: 6 },
