--- a/review/harness-3.rs
+++ b/review/harness-3.rs
@@ -1479,10 +1479,10 @@
 /// memory? The platform kills a process that exceeds it and starts it again.
 fn full_allowances(record: &Record, folder: &Path) -> CaseResult<bool> {
     const MEMORY_MB: u64 = 88;
-    const TENANTS: usize = 4;
+    const TENANTS: usize = 5;
     const CAP_TOKENS: usize = 2_900_000;
-    const ITEM_TOKENS: usize = 545;
-    const BODY_BYTES: usize = 1500;
+    const ITEM_TOKENS: usize = 558;
+    const BODY_BYTES: usize = 960;
     let mut site = Site::open_with_rates(record, folder, [6000, 1500])?;
     let plan = ServerPlan {
         service: "dele69a".to_owned(),
@@ -1509,22 +1509,22 @@
     let config = format!("{}\"tenants\":[{}]}}", &config[..start], tenants.join(","));
     site.store.put("op", "config", &config);
     site.add_servers(9, &plan)?;
-    site.add_gateways(4, &MachineSettings { memory_mb: MEMORY_MB, max_fds: 4100, grace_s: 8 })?;
+    site.add_gateways(5, &MachineSettings { memory_mb: MEMORY_MB, max_fds: 4100, grace_s: 8 })?;
     let body = base64(&[b'q'; BODY_BYTES]);
     let mut accepted = 0;
     // Four clients at once, each at a machine of its own; jobs of ten items, up to the allowance.
     let statuses: Arc<Mutex<BTreeMap<u16, usize>>> = Arc::default();
-    let clients = (0..4).map(|gateway| {
+    let clients = (0..5).map(|gateway| {
         let (front, statuses, body) = (site.gateways[gateway].front, Arc::clone(&statuses), body.clone());
         thread::spawn(move || {
-            for number in 0..CAP_TOKENS / ITEM_TOKENS / 10 * TENANTS / 4 {
+            for number in 0..CAP_TOKENS / ITEM_TOKENS / 10 * TENANTS / 5 {
                 let tenant = number % TENANTS;
                 let job = format!("c3{gateway}{number:05}");
                 let requests: Vec<String> = (0..10)
                     .map(|item| {
                         format!(
                             "{{\"id\":\"{job}.{item}\",\"path\":\"/scene/3/91c4\",\"headers\":{{\"Ebonydock-Model\":\
-                             \"m\",\"Ebonydock-Token-Count\":\"350,195\",\"Ebonydock-Prompt-Prefix\":\
+                             \"m\",\"Ebonydock-Token-Count\":\"350,208\",\"Ebonydock-Prompt-Prefix\":\
                              \"5c1e07a2:100,{number:x}{item}abc:250\"}},\"body\":\"{body}\",\"tokens\":{ITEM_TOKENS}}}"
                         )
                     })
@@ -1557,12 +1557,12 @@
         |site: &Site| -> Vec<u64> { site.gateways.iter().map(|gateway| gateway.memory_kb().unwrap_or(0)).collect() };
     site.record.add(format!("memory of the machines in KB: {:?}; limit {}", used(&site), MEMORY_MB * 1024));
     if site.has_trouble {
-        for gateway in 2..4 {
+        for gateway in 2..5 {
             site.gateways[gateway].kill();
             site.record.add(format!("front-{gateway} is lost for good"));
         }
     }
-    let survivors = if site.has_trouble { 2 } else { 4 };
+    let survivors = if site.has_trouble { 2 } else { 5 };
     let mut ends = vec![0; survivors];
     let mut logged_at = 0.0;
     let ends_at = seconds() + 75.0;
