Gateway: the log of a quarantine lists its failures and their times

Cause: when a quarantine looked wrong, the log line gave the number of targets, but not whether they ended one after the other or at one moment, nor whether the service answered anything since.

Change: `prompt parts quarantined` has `failures` (target and milliseconds before the judgement, at most 16) and `last_answer_ms`.

--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -43,6 +43,8 @@
 /// Limits for one report, which has to fit into a datagram.
 const MAX_REPORTED_PARTS: usize = 32;
 const MAX_REPORTED_ANSWERS: usize = 12;
+/// Limit for the failures that the log line of a verdict lists.
+const MAX_LOGGED_FAILURES: usize = 16;
 /// Resolution of the counts of answers over time.
 const ANSWER_BUCKET: Duration = Duration::from_millis(100);
 
@@ -82,6 +84,11 @@
         }
     }
 
+    /// Returns when the last counted answers began, with the resolution of the counts.
+    fn newest(&self) -> Option<Duration> {
+        self.buckets.back().map(|(began, _)| *began)
+    }
+
     fn between(&self, from: Duration, to: Duration) -> u32 {
         let within = self.buckets.iter().filter(|(began, _)| (from..=to).contains(began));
         within.map(|(_, count)| count).sum()
@@ -112,6 +119,20 @@
     pub answers: u32,
     /// Odds against any such failures by chance in the compared period, as a natural logarithm.
     pub log_surprise: f64,
+    /// Failures of requests with the parts: hash of the target, and time before the judgement. In the order in
+    /// which they became known.
+    pub failures: Vec<(u32, Duration)>,
+    /// Time since the last answer of the services to any request; `None` if none is known.
+    pub last_answer: Option<Duration>,
+}
+
+impl CrashVerdict {
+    /// Returns the first failures as they appear in logs: `target-milliseconds` for each.
+    pub(crate) fn failure_list(&self) -> String {
+        let entries = self.failures.iter().take(MAX_LOGGED_FAILURES);
+        let entries = entries.map(|(target, age)| format!("{target:08x}-{}", age.as_millis()));
+        entries.collect::<Vec<_>>().join(",")
+    }
 }
 
 /// Failed attempts of all VMs at requests that had not begun to be answered.
@@ -326,7 +347,7 @@
         }
         let verdicts = by_part.iter().filter_map(|(part, failures)| {
             let companions = quarantines.companions(*part);
-            let verdict = self.weigh(&settled, failures, !companions.parts().is_empty())?;
+            let verdict = self.weigh(now, &settled, failures, !companions.parts().is_empty())?;
             Some((verdict, failures, companions))
         });
         let (verdict, failures, companions) = verdicts.max_by(|(a, ..), (b, ..)| {
@@ -345,6 +366,7 @@
 
     fn weigh(
         &self,
+        now: Duration,
         settled: &[&RecordedFailure],
         failures: &PartFailures,
         is_in_set: bool,
@@ -372,6 +394,8 @@
         let log_odds = failures.targets.len() as f64 * -rate.ln();
         let requests = settled.len() as f64 + f64::from(all_answers);
         let log_surprise = log_odds - requests.ln();
+        let answered = failures.services.iter().filter_map(|service| self.answers.get(service));
+        let last_answer = answered.filter_map(AnswerHistory::newest).max();
         let is_likely =
             log_surprise >= MIN_LOG_SURPRISE || (is_in_set && log_odds >= MIN_LOG_ODDS_IN_SET);
         is_likely.then(|| CrashVerdict {
@@ -380,6 +404,14 @@
             other_failures,
             answers,
             log_surprise,
+            failures: failures
+                .failures
+                .iter()
+                .map(|index| {
+                    (settled[*index].failure.target, now.saturating_sub(settled[*index].at))
+                })
+                .collect(),
+            last_answer: last_answer.map(|at| now.saturating_sub(at)),
         })
     }
 }
--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -351,7 +351,8 @@
             log::warn!(
                 parts = verdict.parts.to_string(), targets = verdict.targets as u64,
                 other_failures = verdict.other_failures as u64, answers = verdict.answers,
-                log_surprise = verdict.log_surprise;
+                log_surprise = verdict.log_surprise, failures = verdict.failure_list(),
+                last_answer_ms = verdict.last_answer.map(|age| age.as_millis() as u64);
                 "prompt parts quarantined: requests with them crash targets"
             );
             self.prompts.unsaved.notify_one();
