Gateway: a service whose targets ended together is served again after their return

What callers saw: all targets of a service end at one moment and are back 3 s later.

Cause: the failure rate was raised to the power of the number of targets that failed, though one event had ended all of them (16 failures at 9 targets within 2 ms), and nobody could object, since no target was left to answer. The first trial was due after a minute, and nothing else could lift the quarantine.

Change: failures within 100 ms count as one. With fewer than three of them, at three or more targets, the quarantine is provisional: callers get 503 with Retry-After, and once the service has targets one request of the fleet goes first. Its answer lifts the quarantine everywhere; if a target ends at it, the quarantine is confirmed as a new revision of its row. Reports and rows keep their layout.

Why it works: the question which of the two causes it was is asked again as soon as somebody can answer, at the cost of one request if the part crashes targets after all.

--- a/crates/ebonydock/src/gateway/forward.rs
+++ b/crates/ebonydock/src/gateway/forward.rs
@@ -11,7 +11,7 @@
 use crate::gateway::catalog::{ForwardRoute, RouteCatalog, RouteMiss};
 use crate::gateway::connections::SendError;
 use crate::gateway::leases::SlotLease;
-use crate::gateway::prompt_guard::{QuarantineTrial, quarantine_refusal};
+use crate::gateway::prompt_guard::QuarantineTrial;
 use crate::gateway::quota::QuotaState;
 use crate::gateway::request::{ForwardedRequest, TokenDemand};
 use crate::gateway::response_body::{BodyReceiver, QueueError, open_body};
@@ -87,6 +87,8 @@
     Failed,
     /// The prompt contains parts that crash targets.
     Quarantined,
+    /// The prompt contains parts of which a trial has to show whether they crash targets.
+    Suspected,
 }
 
 impl RefusalReason {
@@ -109,6 +111,7 @@
             Self::TimedOut => "timed_out",
             Self::Failed => "failed",
             Self::Quarantined => "quarantined",
+            Self::Suspected => "suspected",
         }
     }
 }
@@ -127,6 +130,18 @@
     pub fn of(reason: RefusalReason) -> Self {
         Self { reason, retry_after: None }
     }
+
+    /// Creates a refusal after which the caller may retry in about `delay`.
+    pub(crate) fn after(
+        reason: RefusalReason,
+        delay: Duration,
+        admitted: &AdmittedRequest,
+    ) -> Self {
+        let max_delay = admitted.time_left().mul_f64(MAX_RETRY_AFTER_FRACTION);
+        // Jitter keeps callers that are refused together from retrying together.
+        let spread = 1.0 + rand::random::<f64>() * 0.5;
+        Self { reason, retry_after: Some(delay.mul_f64(spread).min(max_delay)) }
+    }
 }
 
 /// An admitted request with everything that its attempts need.
@@ -155,6 +170,12 @@
         self.ends_at.saturating_sub(monotonic())
     }
 
+    /// Returns until when a request of a caller waits for a target.
+    fn place_by(&self) -> Duration {
+        let max_wait = self.route.latency_objective.mul_f64(MAX_WAIT_FRACTION);
+        (self.request.received_at + max_wait).min(self.ends_at)
+    }
+
     pub(crate) fn copy(&self) -> Self {
         Self {
             request: self.request.clone(),
@@ -198,7 +219,8 @@
         let time_left = admitted.time_left();
         let mut history = AttemptHistory::default();
         let attempts = async {
-            self.check_quarantine(&mut admitted).await?;
+            let place_by = admitted.place_by();
+            self.check_quarantine(&mut admitted, place_by).await?;
             self.run_attempts(admitted, &mut history).await
         };
         let response = tokio::select! {
@@ -266,8 +288,7 @@
         admitted: AdmittedRequest,
         history: &mut AttemptHistory,
     ) -> Result<ForwardResponse, GatewayRefusal> {
-        let max_wait = admitted.route.latency_objective.mul_f64(MAX_WAIT_FRACTION);
-        let place_by = (admitted.request.received_at + max_wait).min(admitted.ends_at);
+        let place_by = admitted.place_by();
         loop {
             let attempt =
                 self.attempt(&admitted, history, place_by, admitted.request.last_event).await?;
@@ -290,10 +311,12 @@
         place_by: Duration,
         resume_after: Option<u64>,
     ) -> Result<RunningAttempt, GatewayRefusal> {
+        let trial = admitted.trial.as_ref();
+        let place_by = trial.map_or(place_by, |trial| trial.limit_placement(place_by));
         loop {
             let lease = tokio::select! {
                 biased;
-                () = self.quarantined(admitted) => return Err(quarantine_refusal(history)),
+                refusal = self.quarantined(admitted, history) => return Err(refusal),
                 lease = self.acquire(self.slot_need(admitted, history, place_by)) => lease,
             };
             let mut lease = lease.map_err(|refusal| refusal_for(admitted, history, refusal))?;
@@ -309,7 +332,7 @@
                 resume_after,
                 needs_new_connection: history.refused_by.contains(&target.id),
             };
-            if let Some(trial) = &admitted.trial {
+            if let Some(trial) = trial {
                 trial.record_sending();
             }
             // Counted before sending, because a request whose future is dropped meanwhile may have run.
@@ -331,6 +354,11 @@
                 self.note_leaving(&target, response);
             }
             let incarnation = target.incarnation_hash();
+            if let Some(trial) = trial
+                && has_not_run(&outcome)
+            {
+                trial.record_not_run();
+            }
             match outcome {
                 Ok(response) if response.meaning == ResponseMeaning::Ran => {
                     let has_events = response.has_events && response.status.is_success();
@@ -488,6 +516,16 @@
     }
 }
 
+/// Returns whether the request has certainly not run at the target.
+fn has_not_run(outcome: &Result<TargetResponse, SendError>) -> bool {
+    match outcome {
+        Ok(response) => {
+            !matches!(response.meaning, ResponseMeaning::Ran | ResponseMeaning::Foreign)
+        }
+        Err(error) => matches!(error, SendError::NotSent(_)),
+    }
+}
+
 pub(crate) fn deadline_error() -> SendError {
     SendError::Lost("the deadline passed before the response was complete".to_owned())
 }
@@ -501,11 +539,7 @@
         return GatewayRefusal::of(RefusalReason::Failed);
     }
     let reason = if refusal.has_targets { RefusalReason::Busy } else { RefusalReason::NoTarget };
-    let max_delay = admitted.time_left().mul_f64(MAX_RETRY_AFTER_FRACTION);
-    // Jitter keeps callers that are refused together from retrying together.
-    let spread = 1.0 + rand::random::<f64>() * 0.5;
-    let retry_after = refusal.retry_after.mul_f64(spread).min(max_delay);
-    GatewayRefusal { reason, retry_after: Some(retry_after) }
+    GatewayRefusal::after(reason, refusal.retry_after, admitted)
 }
 
 /// Refuses the request unless its route allows to send it again although it may have run.
--- a/crates/ebonydock/src/gateway/job_leader.rs
+++ b/crates/ebonydock/src/gateway/job_leader.rs
@@ -338,7 +338,7 @@
             };
             // In this order, because the check may use up a trial.
             if self.core.is_suspect(&admitted.request)
-                || self.core.check_quarantine(&mut admitted).await.is_err()
+                || self.core.check_quarantine(&mut admitted, Duration::ZERO).await.is_err()
             {
                 if !std::mem::replace(&mut is_held, true) {
                     log::info!(
@@ -346,7 +346,8 @@
                         "item held: its prompt may crash targets"
                     );
                 }
-                tokio::time::sleep(QUARANTINE_POLL_INTERVAL).await;
+                let changed = self.core.quarantine_change();
+                let _ = tokio::time::timeout(QUARANTINE_POLL_INTERVAL, changed).await;
                 continue;
             }
             is_held = false;
--- a/crates/ebonydock/src/gateway/prompt_failures.rs
+++ b/crates/ebonydock/src/gateway/prompt_failures.rs
@@ -4,6 +4,9 @@
 //! requests that had not begun to be answered, by their prompt parts. A part is the likely cause if the
 //! requests that share it failed at several targets, none of them was answered since, and that is improbable
 //! given how often other requests fail at the same time.
+//!
+//! Targets that end at one moment may have lost their network, power or process together, and a part that most
+//! requests share then fails at all of them. Such failures count as one, and the verdict is provisional.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
@@ -34,6 +37,9 @@
 const MIN_LOG_SURPRISE: f64 = 5.0;
 /// Minimum odds against chance for a part of a quarantined set, as a natural logarithm.
 const MIN_LOG_ODDS_IN_SET: f64 = 4.0;
+/// Failures within this period after the first of them may have one cause that their targets share. VMs notice
+/// and report the end of one target at times that differ by less.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(100);
 /// Limit for failures that are compared; older ones are dropped.
 const MAX_FAILURES: usize = 512;
 /// Limit for parts whose last answer is known.
@@ -102,8 +108,29 @@
     failures: Vec<usize>,
     targets: BTreeSet<u32>,
     services: BTreeSet<u32>,
-    first_at: Duration,
-    last_at: Duration,
+    times: BTreeSet<Duration>,
+}
+
+impl PartFailures {
+    fn add(&mut self, index: usize, known: &RecordedFailure) {
+        self.failures.push(index);
+        self.targets.insert(known.failure.target);
+        self.services.insert(known.failure.service);
+        self.times.insert(known.at);
+    }
+
+    /// Returns the number of failures that are too far apart in time for a cause that their targets share.
+    fn independent_count(&self) -> usize {
+        let mut count = 0;
+        let mut window_end = None;
+        for at in &self.times {
+            if window_end.is_none_or(|end| *at > end) {
+                count += 1;
+                window_end = Some(*at + COMMON_CAUSE_WINDOW);
+            }
+        }
+        count
+    }
 }
 
 /// Parts that crash targets, with the evidence.
@@ -113,6 +140,10 @@
     pub parts: PartSet,
     /// Number of targets at which requests with the parts failed.
     pub targets: usize,
+    /// Number of failures that have no cause in common but the parts.
+    pub independent_failures: usize,
+    /// Whether the independent failures suffice as evidence. Otherwise a trial has to decide.
+    pub is_confirmed: bool,
     /// Failures of other requests at about the same time.
     pub other_failures: usize,
     /// Answers to other requests at about the same time.
@@ -334,15 +365,7 @@
         for (index, known) in settled.iter().enumerate() {
             let failure = &known.failure;
             for part in failure.parts.iter().filter(|part| self.is_live(**part, known.at)) {
-                let failures = by_part.entry(*part).or_insert_with(|| PartFailures {
-                    first_at: known.at,
-                    ..PartFailures::default()
-                });
-                failures.failures.push(index);
-                failures.targets.insert(failure.target);
-                failures.services.insert(failure.service);
-                failures.first_at = failures.first_at.min(known.at);
-                failures.last_at = failures.last_at.max(known.at);
+                by_part.entry(*part).or_default().add(index, known);
             }
         }
         let verdicts = by_part.iter().filter_map(|(part, failures)| {
@@ -364,6 +387,21 @@
         Some(CrashVerdict { parts, ..verdict })
     }
 
+    /// Returns whether the failures of requests with quarantined parts show that these crash targets.
+    pub fn confirms(&self, now: Duration, parts: &PartSet) -> bool {
+        let settled: Vec<&RecordedFailure> =
+            self.failures.iter().filter(|known| known.at + SETTLING_TIME <= now).collect();
+        let mut failures = PartFailures::default();
+        for (index, known) in settled.iter().enumerate() {
+            let is_live = parts.parts().iter().all(|part| self.is_live(*part, known.at));
+            if is_live && parts.is_within(&known.failure.parts) {
+                failures.add(index, known);
+            }
+        }
+        let verdict = self.weigh(now, &settled, &failures, false);
+        verdict.is_some_and(|verdict| verdict.is_confirmed)
+    }
+
     fn weigh(
         &self,
         now: Duration,
@@ -376,8 +414,9 @@
             return None;
         }
         // Later answers to other requests say nothing about requests with the part that nobody sent.
-        let from = failures.first_at.saturating_sub(SETTLING_TIME);
-        let to = failures.last_at + SETTLING_TIME;
+        let (first_at, last_at) = (*failures.times.first()?, *failures.times.last()?);
+        let from = first_at.saturating_sub(SETTLING_TIME);
+        let to = last_at + SETTLING_TIME;
         let compared = settled.iter().enumerate().filter(|(_, known)| {
             (from..=to).contains(&known.at) && failures.services.contains(&known.failure.service)
         });
@@ -391,16 +430,22 @@
         // Chance clusters failures, so the rate at the time of the failures alone would be too low.
         let rate =
             failure_rate(other_failures, answers).max(failure_rate(all_failures, all_answers));
-        let log_odds = failures.targets.len() as f64 * -rate.ln();
         let requests = settled.len() as f64 + f64::from(all_answers);
-        let log_surprise = log_odds - requests.ln();
+        let log_odds = |failures: usize| failures as f64 * -rate.ln();
+        let log_surprise = log_odds(failures.targets.len()) - requests.ln();
+        let are_too_many = |failures: usize| {
+            failures >= min_failures
+                && (log_odds(failures) - requests.ln() >= MIN_LOG_SURPRISE
+                    || (is_in_set && log_odds(failures) >= MIN_LOG_ODDS_IN_SET))
+        };
+        let independent_failures = failures.independent_count();
         let answered = failures.services.iter().filter_map(|service| self.answers.get(service));
         let last_answer = answered.filter_map(AnswerHistory::newest).max();
-        let is_likely =
-            log_surprise >= MIN_LOG_SURPRISE || (is_in_set && log_odds >= MIN_LOG_ODDS_IN_SET);
-        is_likely.then(|| CrashVerdict {
+        are_too_many(failures.targets.len()).then(|| CrashVerdict {
             parts: PartSet::default(),
             targets: failures.targets.len(),
+            independent_failures,
+            is_confirmed: are_too_many(independent_failures),
             other_failures,
             answers,
             log_surprise,
--- a/crates/ebonydock/src/gateway/prompt_guard.rs
+++ b/crates/ebonydock/src/gateway/prompt_guard.rs
@@ -14,10 +14,12 @@
 use crate::gateway::job_records::{decode, encode};
 use crate::gateway::load::{PromptFailure, PromptReport};
 use crate::gateway::prompt_failures::{FailureLedger, SETTLING_TIME};
-use crate::gateway::quarantine::{PartSet, QuarantineList, QuarantineRecord, QuarantineWrite};
+use crate::gateway::quarantine::{
+    PROVISIONAL_TRIAL_TIMEOUT, PartSet, QuarantineList, QuarantineRecord, QuarantineWrite,
+};
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
-use crate::ids::VmId;
+use crate::ids::{ServiceName, VmId};
 use crate::placement::load::service_hash;
 use crate::platform::rows::{RowError, RowResult, RowTransaction};
 
@@ -32,6 +34,14 @@
 const SAVE_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Limit for the time that a caller waits for the store to permit a trial.
 const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause after a trial that the store did not permit.
+const TRIAL_CLAIM_PAUSE: Duration = Duration::from_millis(250);
+/// Retry-After of a request with provisionally quarantined parts while their service has no targets or the store
+/// does not have the quarantine.
+const PROVISIONAL_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time that a trial takes from its permission to the first event, by which Retry-After is longer than the time
+/// to the trial.
+const TRIAL_TIME: Duration = Duration::from_millis(250);
 
 /// Evidence and quarantines of one VM.
 #[derive(Default)]
@@ -45,6 +55,8 @@
     /// Wakes requests that wait for a target.
     changed: Notify,
     is_claiming_trial: Cell<bool>,
+    /// Until when this VM claims no trial, because the store did not permit the last one.
+    no_claim_until: Cell<Duration>,
 }
 
 /// Marks a VM as waiting for the permission of a trial until it is dropped, also if the caller leaves.
@@ -68,6 +80,8 @@
     core: Rc<GatewayCore>,
     parts: PartSet,
     is_sent: Cell<bool>,
+    /// When another VM may send a trial instead; `None` if the quarantine is confirmed.
+    send_by: Option<Duration>,
 }
 
 impl QuarantineTrial {
@@ -75,6 +89,16 @@
     pub(crate) fn record_sending(&self) {
         self.is_sent.set(true);
     }
+
+    /// Records that the target did not run the request.
+    pub(crate) fn record_not_run(&self) {
+        self.is_sent.set(false);
+    }
+
+    /// Returns until when the request may be sent, at most `place_by`.
+    pub(crate) fn limit_placement(&self, place_by: Duration) -> Duration {
+        self.send_by.map_or(place_by, |send_by| send_by.min(place_by))
+    }
 }
 
 impl Drop for QuarantineTrial {
@@ -116,6 +140,9 @@
             PromptFailure { target, service: service_hash(&admitted.service), parts, age_ms: 0 };
         self.prompts.ledger.borrow_mut().record_failure(monotonic(), failure);
         self.prompts.failed.notify_one();
+        if let Some(trial) = &admitted.trial {
+            self.confirm_quarantine(&trial.parts, Some(&admitted.request.id));
+        }
     }
 
     /// Records that a target began to answer. Lifts the quarantine of parts that the request contains.
@@ -137,63 +164,125 @@
         self.prompts.ledger.borrow().is_suspect(monotonic(), &part_ids(request))
     }
 
-    /// Refuses a request with quarantined parts, unless it is due as a trial.
+    /// Refuses a request with quarantined parts, unless it is due as a trial. If the quarantine is provisional, waits
+    /// up to `wait_until` for the result of a trial.
     pub(crate) async fn check_quarantine(
         self: &Rc<Self>,
         admitted: &mut AdmittedRequest,
+        wait_until: Duration,
     ) -> Result<(), GatewayRefusal> {
         let parts = part_ids(&admitted.request);
-        let quarantined = self.prompts.quarantines.borrow().find(&parts).cloned();
-        let Some(quarantined) = quarantined else { return Ok(()) };
-        if self.claim_trial(&quarantined).await {
-            log::warn!(id = &*admitted.request.id, parts = quarantined.to_string(); "quarantine trial");
-            self.metrics.count("quarantine", "trial");
-            admitted.trial = Some(Rc::new(QuarantineTrial {
-                core: Rc::clone(self),
-                parts: quarantined,
-                is_sent: Cell::new(false),
-            }));
-            return Ok(());
+        loop {
+            let changed = self.prompts.changed.notified();
+            let quarantined = self.prompts.quarantines.borrow().find(&parts).cloned();
+            let Some(quarantined) = quarantined else { return Ok(()) };
+            if let Some(trial) = self.claim_trial(&quarantined, &admitted.service).await {
+                log::warn!(id = &*admitted.request.id, parts = quarantined.to_string(); "quarantine trial");
+                self.metrics.count("quarantine", "trial");
+                admitted.trial = Some(Rc::new(trial));
+                return Ok(());
+            }
+            let now = monotonic();
+            let has_targets = self.has_targets(&admitted.service);
+            let is_confirmed = self.prompts.quarantines.borrow().is_confirmed(&quarantined);
+            if is_confirmed || !has_targets || now >= wait_until {
+                return Err(self.quarantine_refusal(admitted, &quarantined));
+            }
+            let to_trial = self.time_to_trial(&quarantined).unwrap_or(TRIAL_CLAIM_PAUSE);
+            let wait = to_trial.max(self.prompts.no_claim_until.get().saturating_sub(now));
+            // At least the resolution of the timers, so that the loop pauses.
+            let wait = wait.min(wait_until.saturating_sub(now)).max(Duration::from_millis(1));
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep(wait) => {}
+            }
         }
-        Err(GatewayRefusal::of(RefusalReason::Quarantined))
     }
 
-    /// Waits until the request contains quarantined parts and may not be sent.
-    pub(crate) async fn quarantined(&self, admitted: &AdmittedRequest) {
-        if admitted.trial.is_some() {
-            std::future::pending::<()>().await;
+    /// Returns the time until a trial of provisionally quarantined parts may be claimed; `None` if the store does not
+    /// have them yet.
+    fn time_to_trial(&self, parts: &PartSet) -> Option<Duration> {
+        self.prompts.quarantines.borrow().time_to_trial(monotonic(), self.store_time(), parts)
+    }
+
+    /// Returns why a request with quarantined parts ends that was not sent.
+    fn quarantine_refusal(&self, admitted: &AdmittedRequest, parts: &PartSet) -> GatewayRefusal {
+        if self.prompts.quarantines.borrow().is_confirmed(parts) {
+            return GatewayRefusal::of(RefusalReason::Quarantined);
         }
+        let to_trial = self.time_to_trial(parts).filter(|_| self.has_targets(&admitted.service));
+        let delay = to_trial.map_or(PROVISIONAL_RETRY_AFTER, |to_trial| to_trial + TRIAL_TIME);
+        GatewayRefusal::after(RefusalReason::Suspected, delay, admitted)
+    }
+
+    /// Waits until the request contains quarantined parts and may not be sent, and returns why it ends.
+    pub(crate) async fn quarantined(
+        &self,
+        admitted: &AdmittedRequest,
+        history: &AttemptHistory,
+    ) -> GatewayRefusal {
         let parts = part_ids(&admitted.request);
         loop {
             let changed = self.prompts.changed.notified();
-            if self.prompts.quarantines.borrow().is_quarantined(&parts) {
-                return;
+            let quarantined = self.prompts.quarantines.borrow().find(&parts).cloned();
+            if let Some(quarantined) = quarantined
+                && !self.may_send_trial(admitted, &quarantined)
+            {
+                if history.runs > 0 {
+                    return GatewayRefusal::of(RefusalReason::Failed);
+                }
+                return self.quarantine_refusal(admitted, &quarantined);
             }
             changed.await;
         }
     }
 
+    /// Returns whether the request is a trial of the parts that nothing has overtaken.
+    fn may_send_trial(&self, admitted: &AdmittedRequest, parts: &PartSet) -> bool {
+        let is_confirmed = || self.prompts.quarantines.borrow().is_confirmed(parts);
+        admitted.trial.as_ref().is_some_and(|trial| trial.send_by.is_none() || !is_confirmed())
+    }
+
+    /// Waits until quarantines change.
+    pub(crate) async fn quarantine_change(&self) {
+        self.prompts.changed.notified().await;
+    }
+
     /// Asks the store for the permission to send one request with quarantined parts.
-    async fn claim_trial(&self, parts: &PartSet) -> bool {
-        let due = self.prompts.quarantines.borrow().due_trial(self.store_time(), parts);
-        let Some(write) = due else { return false };
-        if self.prompts.is_claiming_trial.get() {
-            return false;
+    async fn claim_trial(
+        self: &Rc<Self>,
+        parts: &PartSet,
+        service: &ServiceName,
+    ) -> Option<QuarantineTrial> {
+        let now = monotonic();
+        let write = self.prompts.quarantines.borrow().due_trial(self.store_time(), parts)?;
+        let is_confirmed = self.prompts.quarantines.borrow().is_confirmed(parts);
+        let is_due = is_confirmed
+            || (self.has_targets(service) && self.time_to_trial(parts) == Some(Duration::ZERO));
+        if !is_due
+            || self.prompts.is_claiming_trial.get()
+            || now < self.prompts.no_claim_until.get()
+        {
+            return None;
         }
         let _claim = TrialClaim::open(&self.prompts.is_claiming_trial);
         let claimed =
             tokio::time::timeout(TRIAL_CLAIM_TIMEOUT, self.write_quarantine(&write)).await;
-        match claimed {
-            Ok(Ok(())) => true,
-            Ok(Err(error)) => {
-                log::info!(parts = parts.to_string(), error = error.to_string(); "quarantine trial not permitted");
-                false
+        let reason = match claimed {
+            Ok(Ok(())) => {
+                return Some(QuarantineTrial {
+                    core: Rc::clone(self),
+                    parts: parts.clone(),
+                    is_sent: Cell::new(false),
+                    send_by: (!is_confirmed).then_some(now + PROVISIONAL_TRIAL_TIMEOUT),
+                });
             }
-            Err(_) => {
-                log::info!(parts = parts.to_string(); "quarantine trial not permitted: the store did not answer in time");
-                false
-            }
-        }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => "the store did not answer in time".to_owned(),
+        };
+        self.prompts.no_claim_until.set(monotonic() + TRIAL_CLAIM_PAUSE);
+        log::info!(parts = parts.to_string(), error = reason; "quarantine trial not permitted");
+        None
     }
 
     fn return_trial(self: &Rc<Self>, parts: &PartSet) {
@@ -221,6 +310,18 @@
         Ok(())
     }
 
+    /// Records that parts of an unconfirmed quarantine crash targets, because the trial `id` ended one or because of
+    /// the failures of several requests.
+    fn confirm_quarantine(&self, parts: &PartSet, id: Option<&str>) {
+        if !self.prompts.quarantines.borrow_mut().confirm(monotonic(), parts) {
+            return;
+        }
+        self.metrics.count("quarantine", "confirmed");
+        log::warn!(parts = parts.to_string(), id = id.unwrap_or_default(); "quarantine confirmed");
+        self.prompts.unsaved.notify_one();
+        self.prompts.changed.notify_waiters();
+    }
+
     /// Lifts a quarantine because of an answer to the request `answered`, or at another VM if it is `None`.
     fn lift_quarantine(&self, parts: &PartSet, answered: Option<&str>) {
         let stored = self.prompts.quarantines.borrow_mut().lift(monotonic(), parts);
@@ -290,6 +391,7 @@
             }
         }
         drop(quarantines);
+        self.prompts.unsaved.notify_one();
         self.prompts.changed.notify_waiters();
     }
 
@@ -339,17 +441,30 @@
                 self.lift_quarantine(&parts, None);
             }
         }
+        let unconfirmed = self.prompts.quarantines.borrow().unconfirmed();
+        for parts in unconfirmed {
+            if self.prompts.ledger.borrow().confirms(now, &parts) {
+                self.confirm_quarantine(&parts, None);
+            }
+        }
         loop {
             let mut quarantines = self.prompts.quarantines.borrow_mut();
             let verdict = self.prompts.ledger.borrow().judge(now, &quarantines);
             let Some(verdict) = verdict else { return };
-            if !quarantines.add(now, &verdict.parts) {
+            let is_new = if verdict.is_confirmed {
+                quarantines.add(now, &verdict.parts)
+            } else {
+                quarantines.add_provisional(now, &verdict.parts)
+            };
+            if !is_new {
                 return;
             }
             drop(quarantines);
             self.metrics.count("quarantine", "added");
             log::warn!(
                 parts = verdict.parts.to_string(), targets = verdict.targets as u64,
+                independent_failures = verdict.independent_failures as u64,
+                provisional = !verdict.is_confirmed,
                 other_failures = verdict.other_failures as u64, answers = verdict.answers,
                 log_surprise = verdict.log_surprise, failures = verdict.failure_list(),
                 last_answer_ms = verdict.last_answer.map(|age| age.as_millis() as u64);
@@ -401,12 +516,6 @@
     }
 }
 
-/// Returns why a request with quarantined parts ends.
-pub(crate) fn quarantine_refusal(history: &AttemptHistory) -> GatewayRefusal {
-    let reason = if history.runs > 0 { RefusalReason::Failed } else { RefusalReason::Quarantined };
-    GatewayRefusal::of(reason)
-}
-
 async fn judge_failures(core: Rc<GatewayCore>) {
     loop {
         core.prompts.failed.notified().await;
@@ -420,10 +529,11 @@
 async fn save_quarantines(core: Rc<GatewayCore>) {
     loop {
         core.prompts.unsaved.notified().await;
-        core.sleep_before_save().await;
-        while !core.save_unsaved().await {
-            tokio::time::sleep(SAVE_RETRY_DELAY).await;
+        while core.prompts.quarantines.borrow().has_unsaved() {
             core.sleep_before_save().await;
+            if !core.save_unsaved().await {
+                tokio::time::sleep(SAVE_RETRY_DELAY).await;
+            }
         }
     }
 }
--- a/crates/ebonydock/src/gateway/quarantine.rs
+++ b/crates/ebonydock/src/gateway/quarantine.rs
@@ -13,6 +13,12 @@
 const TRIAL_PAUSE_FACTOR: u32 = 8;
 /// Number of trials without an operator.
 const MAX_TRIALS: u32 = 3;
+/// Period after a provisional verdict in which failures that are on their way may confirm it without a trial.
+const PROVISIONAL_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which the trial of a provisional quarantine counts as lost, so that another VM may send one.
+pub(crate) const PROVISIONAL_TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause before the next trial of a provisional quarantine if one reached no target.
+const RETURNED_TRIAL_PAUSE: Duration = Duration::from_millis(250);
 /// Period in which a change is repeated in load reports. Later the store tells VMs that start.
 const REPORTING_TIME: Duration = Duration::from_secs(3);
 /// Limit for the quarantines of a VM; the oldest is dropped beyond it.
@@ -67,10 +73,28 @@
     pub(crate) revision: u32,
     /// Number of requests that were let through to see whether they still crash targets.
     pub(crate) trials: u32,
-    /// Time of the next trial by the store's clock.
+    /// Time of the next trial by the store's clock; zero in the first version of the row of a provisional
+    /// quarantine, whose trial is due as soon as the service has targets.
     pub(crate) next_trial_at: Duration,
 }
 
+impl QuarantineRecord {
+    fn is_provisional(&self) -> bool {
+        self.trials == 0 && self.next_trial_at.is_zero()
+    }
+}
+
+/// What a VM knows of the evidence for a quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Certainty {
+    /// Another VM reported the quarantine, and its row is not known yet.
+    Reported,
+    /// The targets that ended may have had another cause in common. A single trial decides.
+    Provisional,
+    /// Targets ended one after the other, or a trial ended one.
+    Confirmed,
+}
+
 #[derive(Clone, Debug)]
 struct StoredState {
     version: u64,
@@ -81,6 +105,7 @@
 struct QuarantineEntry {
     revision: u32,
     is_lifted: bool,
+    certainty: Certainty,
     changed_at: Duration,
     stored: Option<StoredState>,
 }
@@ -146,29 +171,82 @@
 
     /// Quarantines a set of parts. Returns false if it is quarantined already.
     pub fn add(&mut self, now: Duration, parts: &PartSet) -> bool {
+        self.insert(now, parts, Certainty::Confirmed)
+    }
+
+    /// Quarantines a set of parts until a trial decides whether they crash targets. Returns false if it is
+    /// quarantined already.
+    pub fn add_provisional(&mut self, now: Duration, parts: &PartSet) -> bool {
+        self.insert(now, parts, Certainty::Provisional)
+    }
+
+    fn insert(&mut self, now: Duration, parts: &PartSet, certainty: Certainty) -> bool {
         if self.is_quarantined(parts.parts()) {
             return false;
         }
         let revision = self.entries.get(parts).map_or(0, |entry| entry.revision) + 1;
-        self.set(now, parts, revision, false)
+        self.set(now, parts, (revision, false), certainty)
+    }
+
+    /// Returns whether a set is quarantined and known to crash targets.
+    pub fn is_confirmed(&self, parts: &PartSet) -> bool {
+        let confirmed = |entry: &QuarantineEntry| entry.certainty == Certainty::Confirmed;
+        self.active_entry(parts).is_some_and(confirmed)
+    }
+
+    /// Returns the quarantined sets that are not confirmed.
+    pub fn unconfirmed(&self) -> Vec<PartSet> {
+        let entries = self.active().filter(|(_, entry)| entry.certainty != Certainty::Confirmed);
+        entries.map(|(parts, _)| parts.clone()).collect()
+    }
+
+    /// Records that the parts of a quarantined set crash targets. Returns whether that is new.
+    pub fn confirm(&mut self, now: Duration, parts: &PartSet) -> bool {
+        let Some(entry) = self.entries.get_mut(parts).filter(|entry| !entry.is_lifted) else {
+            return false;
+        };
+        match entry.certainty {
+            Certainty::Confirmed => false,
+            // The VM that reported it had the same evidence.
+            Certainty::Reported => {
+                entry.certainty = Certainty::Confirmed;
+                true
+            }
+            // A new revision replaces the row, by which other VMs would still send trials.
+            Certainty::Provisional => {
+                let revision = entry.revision + 1;
+                self.set(now, parts, (revision, false), Certainty::Confirmed)
+            }
+        }
+    }
+
+    fn active_entry(&self, parts: &PartSet) -> Option<&QuarantineEntry> {
+        self.entries.get(parts).filter(|entry| !entry.is_lifted)
     }
 
     /// Lifts the quarantine of a set. Returns the version of its row if it is stored.
     pub fn lift(&mut self, now: Duration, parts: &PartSet) -> Option<u64> {
         let entry = self.entries.get(parts).filter(|entry| !entry.is_lifted)?;
         let version = entry.stored.as_ref().map(|stored| stored.version);
-        let revision = entry.revision;
-        self.set(now, parts, revision, true);
+        let (revision, certainty) = (entry.revision, entry.certainty);
+        self.set(now, parts, (revision, true), certainty);
         version
     }
 
     /// Applies a change if it is newer; of the same revision, lifting is newer. Returns whether it was.
-    fn set(&mut self, now: Duration, parts: &PartSet, revision: u32, is_lifted: bool) -> bool {
+    fn set(
+        &mut self,
+        now: Duration,
+        parts: &PartSet,
+        (revision, is_lifted): (u32, bool),
+        certainty: Certainty,
+    ) -> bool {
         let known = self.entries.get(parts).map(|entry| (entry.revision, entry.is_lifted));
         if known >= Some((revision, is_lifted)) || parts.parts().is_empty() {
             return false;
         }
-        let entry = QuarantineEntry { revision, is_lifted, changed_at: now, stored: None };
+        let entry =
+            QuarantineEntry { revision, is_lifted, certainty, changed_at: now, stored: None };
         self.entries.insert(parts.clone(), entry);
         if self.entries.len() > MAX_QUARANTINES {
             let oldest =
@@ -183,7 +261,8 @@
     pub fn observe(&mut self, now: Duration, reported: &ReportedQuarantine) -> bool {
         // The other VM may have sent parts in any order.
         let parts = PartSet::of(reported.parts.parts().iter().copied());
-        self.set(now, &parts, reported.revision, reported.is_lifted)
+        let change = (reported.revision, reported.is_lifted);
+        self.set(now, &parts, change, Certainty::Reported)
     }
 
     /// Reports all quarantines again for a while: another VM is heard that was not before, and may have missed
@@ -211,17 +290,32 @@
     }
 
     /// Applies a stored row. Returns whether the parts were not quarantined before.
+    ///
+    /// If this VM has confirmed what the row has as provisional, the row has to be replaced: see
+    /// [`Self::unsaved`].
     pub(crate) fn apply_row(
         &mut self,
         now: Duration,
         version: u64,
         record: QuarantineRecord,
     ) -> bool {
-        let is_new = self.set(now, &record.parts, record.revision, false);
+        let is_new = self.set(now, &record.parts, (record.revision, false), Certainty::Reported);
         if let Some(entry) = self.entries.get_mut(&record.parts)
             && entry.revision == record.revision
             && entry.stored.as_ref().is_none_or(|stored| stored.version < version)
         {
+            match entry.certainty {
+                Certainty::Confirmed if record.is_provisional() => {
+                    entry.revision += 1;
+                    entry.changed_at = now;
+                    return is_new;
+                }
+                Certainty::Reported if record.is_provisional() => {
+                    entry.certainty = Certainty::Provisional;
+                }
+                Certainty::Reported => entry.certainty = Certainty::Confirmed,
+                Certainty::Provisional | Certainty::Confirmed => {}
+            }
             entry.stored = Some(StoredState { version, record });
         }
         is_new
@@ -248,7 +342,13 @@
         stored.map(|(parts, _)| parts.row_key()).collect()
     }
 
-    /// Returns the rows of quarantines that are not stored yet.
+    /// Returns whether a quarantine is not stored yet.
+    pub(crate) fn has_unsaved(&self) -> bool {
+        self.active().any(|(_, entry)| entry.is_unsaved())
+    }
+
+    /// Returns the rows of quarantines that are not stored yet. One that was only reported is stored as
+    /// provisional; a VM that has confirmed it replaces the row.
     pub(crate) fn unsaved(&self, store_time: Duration) -> Vec<QuarantineWrite> {
         let unsaved = self.active().filter(|(_, entry)| entry.is_unsaved());
         let writes = unsaved.map(|(parts, entry)| QuarantineWrite {
@@ -258,7 +358,10 @@
                 parts: parts.clone(),
                 revision: entry.revision,
                 trials: 0,
-                next_trial_at: store_time + FIRST_TRIAL_PAUSE,
+                next_trial_at: match entry.certainty {
+                    Certainty::Confirmed => store_time + FIRST_TRIAL_PAUSE,
+                    Certainty::Reported | Certainty::Provisional => Duration::ZERO,
+                },
             },
         });
         writes.collect()
@@ -271,30 +374,53 @@
         store_time: Duration,
         parts: &PartSet,
     ) -> Option<QuarantineWrite> {
-        let stored = self.entries.get(parts).filter(|entry| !entry.is_lifted)?.stored.as_ref()?;
+        let entry = self.active_entry(parts)?;
+        let stored = entry.stored.as_ref()?;
         let record = &stored.record;
         if record.trials >= MAX_TRIALS || store_time < record.next_trial_at {
             return None;
         }
-        let trials = record.trials + 1;
-        let pause = FIRST_TRIAL_PAUSE * TRIAL_PAUSE_FACTOR.pow(trials);
+        // A target that the trial of a provisional quarantine ends confirms the quarantine, which begins the
+        // count of trials anew.
+        let (trials, pause) = if entry.certainty == Certainty::Provisional {
+            (record.trials, PROVISIONAL_TRIAL_TIMEOUT)
+        } else {
+            let trials = record.trials + 1;
+            (trials, FIRST_TRIAL_PAUSE * TRIAL_PAUSE_FACTOR.pow(trials))
+        };
         let record =
             QuarantineRecord { trials, next_trial_at: store_time + pause, ..record.clone() };
         Some(QuarantineWrite { key: parts.row_key(), expected: stored.version, record })
     }
 
+    /// Returns the time until the next trial of an unconfirmed quarantine; `None` if its row is not known.
+    pub(crate) fn time_to_trial(
+        &self,
+        now: Duration,
+        store_time: Duration,
+        parts: &PartSet,
+    ) -> Option<Duration> {
+        let entry = self.active_entry(parts)?;
+        let due = entry.stored.as_ref()?.record.next_trial_at.saturating_sub(store_time);
+        let pause = (entry.changed_at + PROVISIONAL_PAUSE).saturating_sub(now);
+        Some(due.max(pause))
+    }
+
     /// Returns the write that gives back a trial whose request reached no target.
     pub(crate) fn returned_trial(
         &self,
         store_time: Duration,
         parts: &PartSet,
     ) -> Option<QuarantineWrite> {
-        let stored = self.entries.get(parts).filter(|entry| !entry.is_lifted)?.stored.as_ref()?;
-        let record = QuarantineRecord {
-            trials: stored.record.trials.checked_sub(1)?,
-            next_trial_at: store_time + FIRST_TRIAL_PAUSE,
-            ..stored.record.clone()
+        let entry = self.active_entry(parts)?;
+        let stored = entry.stored.as_ref()?;
+        let (trials, pause) = if entry.certainty == Certainty::Provisional {
+            (stored.record.trials, RETURNED_TRIAL_PAUSE)
+        } else {
+            (stored.record.trials.checked_sub(1)?, FIRST_TRIAL_PAUSE)
         };
+        let record =
+            QuarantineRecord { trials, next_trial_at: store_time + pause, ..stored.record.clone() };
         Some(QuarantineWrite { key: parts.row_key(), expected: stored.version, record })
     }
 }
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -26,7 +26,7 @@
 use crate::gateway::prompt_guard::PromptGuard;
 use crate::gateway::quota::{QuotaLedger, QuotaState};
 use crate::gateway::transport::{ResponseMeaning, TargetResponse, TargetTransport};
-use crate::ids::{TargetId, VmId, WorkspaceId};
+use crate::ids::{ServiceName, TargetId, VmId, WorkspaceId};
 use crate::memory::MemoryLedger;
 use crate::placement::SlotPlacement;
 use crate::placement::dispatcher::RequestDispatcher;
@@ -144,6 +144,11 @@
         self.dispatcher.borrow_mut()
     }
 
+    /// Returns whether a service has any target in service.
+    pub(crate) fn has_targets(&self, service: &ServiceName) -> bool {
+        self.dispatcher.borrow().has_targets(service)
+    }
+
     /// Returns the number of running requests.
     pub(crate) fn running(&self) -> usize {
         self.running.get()
--- a/crates/ebonydock/src/gateway/tests/mod.rs
+++ b/crates/ebonydock/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod lead_model;
 mod leads;
+mod lost_service;
 mod membership;
 mod prompt_fleet;
 mod quarantine;
--- a/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
+++ b/crates/ebonydock/src/gateway/tests/prompt_fleet.rs
@@ -279,7 +279,11 @@
             }
             while vm.ledger.expire(now)
                 && let Some(verdict) = vm.ledger.judge(now, &vm.quarantines)
-                && vm.quarantines.add(now, &verdict.parts)
+                && if verdict.is_confirmed {
+                    vm.quarantines.add(now, &verdict.parts)
+                } else {
+                    vm.quarantines.add_provisional(now, &verdict.parts)
+                }
             {}
             // The store has them, so they are no longer reported.
             for write in vm.quarantines.unsaved(now) {
--- a/crates/ebonydock/src/gateway/tests/quarantine.rs
+++ b/crates/ebonydock/src/gateway/tests/quarantine.rs
@@ -20,7 +20,7 @@
 /// Time that VMs have to notice crashes.
 const STABLE_TIME: Duration = Duration::from_secs(3);
 
-fn prompt_request(id: &str, path: &str, parts: &[u64]) -> ForwardedRequest {
+pub(super) fn prompt_request(id: &str, path: &str, parts: &[u64]) -> ForwardedRequest {
     let own_part = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
     let parts = parts.iter().chain([&own_part]).map(|id| PromptPart { id: *id, tokens: 100 });
     let demand = TokenDemand { prompt_tokens: 300, most_output_tokens: 80, parts: parts.collect() };
@@ -228,7 +228,7 @@
     });
 }
 
-fn job_item(id: &str, parts: &[u64]) -> JobItem {
+pub(super) fn job_item(id: &str, parts: &[u64]) -> JobItem {
     JobItem {
         id: id.to_owned(),
         path: "/night/1".to_owned(),
@@ -239,7 +239,7 @@
     }
 }
 
-fn job(items: Vec<JobItem>) -> JobSubmission {
+pub(super) fn job(items: Vec<JobItem>) -> JobSubmission {
     JobSubmission {
         id: "job".to_owned(),
         host: "shop.example".to_owned(),
