Jobs: results stay counted until their readers have taken them, once for all readers of a job

Cause: the memory of a page was reserved by the call and given back when the call returned; the encoded copy then waited in the response until it was read, counted by nobody, once for each reader.

Change: a page is encoded piece by piece as its connection takes it, from one copy of the texts that all readers of a job share (result_pages), and stays counted until the response is sent. Results that are being read have limits for all readers and for a workspace; at a limit pages become smaller, and then are refused with 503 and Retry-After. Readers that are slower than 8 KB/s, or have taken nothing for 4 s, lose their responses when another one needs the memory; others never do. Related paths: reads of rows for callers (items, pages that are not cached) are counted, bounded to two, and read one page instead of the rest of the job.

Why it works: the bytes that wait for readers are now those of the lease, and one lease for each job instead of a copy for each reader; whoever takes nothing cannot keep it from others.

--- a/crates/ebonydock/src/gateway/handle.rs
+++ b/crates/ebonydock/src/gateway/handle.rs
@@ -4,15 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ntex::util::Bytes;
-
 use crate::clock::monotonic;
 use crate::configuration::KeyHash;
 use crate::gateway::catalog::RouteClass;
 use crate::gateway::connections::ConnectionPool;
 use crate::gateway::followers::RowDecoder;
 use crate::gateway::forward::{ForwardResponse, GatewayRefusal};
-use crate::gateway::job_api::{JobApiResult, JobRefusal, JobResultPage};
+use crate::gateway::job_api::{JobApiResult, JobItemBody, JobRefusal, JobResultPage};
 use crate::gateway::job_records::JobSubmission;
 use crate::gateway::request::ForwardedRequest;
 use crate::gateway::runtime::GatewayCore;
@@ -140,7 +138,7 @@
         key: Option<&KeyHash>,
         id: &str,
         item: &str,
-    ) -> JobApiResult<Bytes> {
+    ) -> JobApiResult<JobItemBody> {
         self.run_job_call(self.core.job_item(key, id, item)).await
     }
 
--- a/crates/ebonydock/src/gateway/job_api.rs
+++ b/crates/ebonydock/src/gateway/job_api.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use ntex::util::Bytes;
+use tokio::sync::SemaphorePermit;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::monotonic;
 use crate::configuration::KeyHash;
 use crate::gateway::catalog::{BatchPolicy, RouteClass, RouteMiss};
-use crate::gateway::job_cache::first_page;
 use crate::gateway::job_leader::LeaderState;
 use crate::gateway::job_records::{
     INPUT_TABLE, JOB_TABLE, JobEntry, JobHead, JobItemResult, JobName, JobProgress, JobSubmission,
@@ -18,7 +19,9 @@
 use crate::gateway::job_service::{JobInputs, StartingGuard};
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::WorkspaceId;
+use crate::memory::{MemoryKind, MemoryLease, MemoryShortage};
 use crate::platform::rows::{RowError, RowTransaction};
+use crate::result_pages::HeldPage;
 
 /// Maximum time for which an API call retries a store request.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -28,6 +31,11 @@
 const MAX_STALENESS: Duration = Duration::from_millis(900);
 /// Size limit of a job's encoded items, which are written in one transaction.
 const MAX_INPUT_BYTES: usize = 700_000;
+/// Memory of a read of a job's items for a caller: the rows, their joined value, and the items.
+const INPUT_READ_BYTES: usize = 3 * MAX_INPUT_BYTES;
+/// Memory of a read of a page of results for a caller: up to two pages of rows of 1 MB each, their joined values, and
+/// the results.
+const PAGE_READ_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why an API call on a job was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +54,8 @@
     TooMuchWaiting,
     /// The store is unavailable; nothing was changed.
     Unavailable,
+    /// There is no memory for the request or its response; nothing was changed.
+    NoMemory,
     /// The store did not respond; the job may or may not have been accepted or ended.
     OutcomeUnknown,
 }
@@ -61,6 +71,7 @@
             Self::Unknown => "unknown",
             Self::TooMuchWaiting => "too_much_waiting",
             Self::Unavailable => "store_unavailable",
+            Self::NoMemory => "no_memory",
             Self::OutcomeUnknown => "outcome_unknown",
         }
     }
@@ -69,15 +80,36 @@
 /// Result of an API call on a job.
 pub type JobApiResult<T> = Result<T, JobRefusal>;
 
+/// Body of an item of a job, with the memory that it holds until it is sent.
+#[derive(Debug)]
+pub struct JobItemBody {
+    /// The body.
+    pub body: Bytes,
+    /// Its memory.
+    pub memory: MemoryLease,
+}
+
 /// Page of results of a job, starting at a position.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct JobResultPage {
     /// Number of items of the job.
     pub total: u32,
     /// Position after the last result of the page.
     pub next: u32,
-    /// Results in the order of their commits.
-    pub results: Vec<JobItemResult>,
+    /// Results in the order of their commits; `None` if there are none.
+    pub held: Option<HeldPage>,
+}
+
+impl JobResultPage {
+    /// Returns the result with this index in the page; see [`HeldPage::result`].
+    pub fn result(&self, index: usize) -> Option<Rc<JobItemResult>> {
+        self.held.as_ref()?.result(index)
+    }
+
+    /// Returns all results.
+    pub fn results(&self) -> Vec<Rc<JobItemResult>> {
+        self.held.iter().flat_map(HeldPage::results).collect()
+    }
 }
 
 impl GatewayCore {
@@ -276,10 +308,9 @@
                 let cached = self.jobs.cache.borrow().page(&job, after, listed);
                 let results = match cached {
                     Some(results) => results,
-                    None => self.stored_page(&job, after).await?,
+                    None => self.stored_page(&job, after, listed).await?,
                 };
-                let next = after + results.len() as u32;
-                return Ok(JobResultPage { total, next, results });
+                return self.hold_page(&job, &entry, after, results);
             }
             let remaining = wait_until.saturating_sub(monotonic());
             if remaining.is_zero() || self.is_closed() || entry.head.ended || listed >= total {
@@ -302,27 +333,69 @@
         after: u32,
         total: u32,
     ) -> JobApiResult<JobResultPage> {
-        let empty = JobResultPage { total, next: after, results: Vec::new() };
+        let empty = JobResultPage { total, next: after, held: None };
         if self.jobs.progress.is_fresh(monotonic(), MAX_STALENESS) {
             return Ok(empty);
         }
         match self.read_job_with_retry(job).await? {
             Some(entry) if entry.progress.listed > after => {
-                let results = self.stored_page(job, after).await?;
-                let next = after + results.len() as u32;
-                Ok(JobResultPage { total, next, results })
+                let results = self.stored_page(job, after, entry.progress.listed).await?;
+                self.hold_page(job, &entry, after, results)
             }
             Some(_) => Ok(empty),
             None => Err(JobRefusal::Unknown),
         }
     }
 
-    async fn stored_page(&self, job: &JobName, after: u32) -> JobApiResult<Vec<JobItemResult>> {
-        let results = self.read_results(job, after).await.map_err(|error| {
+    /// Holds a page until its response is sent. The page is smaller if there is not enough memory for all results.
+    fn hold_page(
+        &self,
+        job: &JobName,
+        entry: &JobEntry,
+        after: u32,
+        results: Vec<Rc<JobItemResult>>,
+    ) -> JobApiResult<JobResultPage> {
+        let total = entry.head.items;
+        if results.is_empty() {
+            return Ok(JobResultPage { total, next: after, held: None });
+        }
+        let workspace = entry.head.workspace.as_ref().map_or("", WorkspaceId::as_str);
+        let owner = xxh3_64(workspace.as_bytes());
+        let page = self.pages.hold(job.as_str(), owner, after, results);
+        let page = page.map_err(|MemoryShortage| JobRefusal::NoMemory)?;
+        let next = after + page.len() as u32;
+        Ok(JobResultPage { total, next, held: Some(page) })
+    }
+
+    async fn stored_page(
+        &self,
+        job: &JobName,
+        after: u32,
+        listed: u32,
+    ) -> JobApiResult<Vec<Rc<JobItemResult>>> {
+        let _permit = self.begin_caller_read().await?;
+        // Another caller may have read them meanwhile.
+        let cached = self.jobs.cache.borrow().page(job, after, listed);
+        if let Some(cached) = cached {
+            return Ok(cached);
+        }
+        let _memory = self.hold_rows(PAGE_READ_BYTES)?;
+        self.read_result_page(job, after).await.map_err(|error| {
             log::warn!(job = job.as_str(), error = error.to_string(); "job results not read");
             JobRefusal::Unavailable
-        })?;
-        Ok(first_page(results.into_iter()))
+        })
+    }
+
+    /// Waits until rows may be read for a caller, up to the store timeout.
+    async fn begin_caller_read(&self) -> JobApiResult<SemaphorePermit<'_>> {
+        let permit = tokio::time::timeout(STORE_TIMEOUT, self.jobs.caller_reads.acquire()).await;
+        // The semaphore is never closed.
+        permit.ok().and_then(Result::ok).ok_or(JobRefusal::Unavailable)
+    }
+
+    fn hold_rows(&self, bytes: usize) -> JobApiResult<MemoryLease> {
+        let lease = self.memory.reserve(MemoryKind::Batch, bytes);
+        lease.map_err(|MemoryShortage| JobRefusal::NoMemory)
     }
 
     /// Returns the body of an item.
@@ -331,14 +404,25 @@
         key: Option<&KeyHash>,
         id: &str,
         item: &str,
-    ) -> JobApiResult<Bytes> {
+    ) -> JobApiResult<JobItemBody> {
         let (job, _) = self.find_job(key, id).await?;
+        let led = self.jobs.inputs.borrow().get(&job).cloned();
+        if let Some(inputs) = led {
+            return self.copy_item(&inputs, item);
+        }
+        let _permit = self.begin_caller_read().await?;
+        let _memory = self.hold_rows(INPUT_READ_BYTES)?;
         let inputs = self.read_inputs(&job).await.map_err(|error| {
             log::warn!(job = job.as_str(), error = error.to_string(); "job inputs not read");
             JobRefusal::Unavailable
         })?;
+        self.copy_item(&inputs, item)
+    }
+
+    fn copy_item(&self, inputs: &JobInputs, item: &str) -> JobApiResult<JobItemBody> {
         let item = inputs.items.iter().find(|entry| entry.id == item).ok_or(JobRefusal::Unknown)?;
-        Ok(Bytes::from(item.body.clone()))
+        let memory = self.hold_rows(item.body.len())?;
+        Ok(JobItemBody { body: Bytes::from(item.body.clone()), memory })
     }
 
     /// Ends a job: stops its items and keeps the committed results.
--- a/crates/ebonydock/src/gateway/job_service.rs
+++ b/crates/ebonydock/src/gateway/job_service.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinHandle;
 
 use crate::gateway::claim_planner::ClaimPlanner;
 use crate::gateway::followers::FollowerProgress;
-use crate::gateway::job_cache::ResultCache;
+use crate::gateway::job_cache::{MAX_PAGE_BYTES, ResultCache, first_page};
 use crate::gateway::job_leader::SharedPartials;
 use crate::gateway::job_records::{
     INPUT_TABLE, JOB_TABLE, JobEntry, JobIndex, JobItem, JobItemResult, JobName, JobProgress,
@@ -18,7 +18,7 @@
 };
 use crate::gateway::runtime::GatewayCore;
 use crate::ids::VmId;
-use crate::platform::rows::{RowError, RowResult, StoredRow, read_all};
+use crate::platform::rows::{RowError, RowResult, StoredRow, read_all, row_key_after};
 
 /// Handle of a leader that runs on this VM.
 pub(crate) struct RunningLeader {
@@ -64,6 +64,8 @@
     item_stats: Cell<ItemStats>,
     /// Wakes callers that wait for results.
     pub(crate) changed: Notify,
+    /// Bounds the reads of rows for callers.
+    pub(crate) caller_reads: Semaphore,
 }
 
 /// Moving averages over the items that ran on this VM.
@@ -80,6 +82,8 @@
     }
 }
 
+/// Number of reads of inputs and results for callers at the same time. Each holds several copies of up to 1 MB.
+const MAX_CALLER_READS: usize = 2;
 /// Weight of the newest item in the moving averages.
 const EWMA_WEIGHT: f64 = 0.1;
 /// Remaining fraction of an average item that an estimate never goes below, since the length of an item
@@ -100,6 +104,7 @@
             progress: Rc::default(),
             item_stats: Cell::default(),
             changed: Notify::default(),
+            caller_reads: Semaphore::new(MAX_CALLER_READS),
         }
     }
 
@@ -161,7 +166,8 @@
         start: u32,
         results: Vec<JobItemResult>,
     ) {
-        self.jobs.cache.borrow_mut().add(job, start, results);
+        let results: Vec<_> = results.into_iter().map(Rc::new).collect();
+        self.jobs.cache.borrow_mut().add(job, start, &results);
         self.jobs.index.borrow_mut().set_progress(job, progress, version);
         self.jobs.changed.notify_waiters();
     }
@@ -197,12 +203,44 @@
         &self,
         job: &JobName,
         from: u32,
-    ) -> RowResult<Vec<JobItemResult>> {
+    ) -> RowResult<Vec<Rc<JobItemResult>>> {
         let rows = self.read_rows(RESULT_TABLE, job, &job.numbered_key(from as usize)).await?;
-        let values = join_chunks(&rows).into_iter();
-        let results = values.map(|(_, value)| decode(&value).map_err(RowError::Refused));
-        let results: Vec<JobItemResult> = results.collect::<RowResult<_>>()?;
-        self.jobs.cache.borrow_mut().add(job, from, results.clone());
+        let results = decode_results(join_chunks(&rows))?;
+        self.jobs.cache.borrow_mut().add(job, from, &results);
         Ok(results)
     }
+
+    /// Reads the results of one page from a position on, and adds them to the cache.
+    pub(crate) async fn read_result_page(
+        &self,
+        job: &JobName,
+        from: u32,
+    ) -> RowResult<Vec<Rc<JobItemResult>>> {
+        let (partition, end) = (job.partition(), job.range_end());
+        let mut start = job.numbered_key(from as usize);
+        let mut rows = Vec::new();
+        let mut values;
+        loop {
+            let page = self.rows.range(RESULT_TABLE, &partition, &start, &end).await?;
+            rows.extend(page.rows);
+            values = join_chunks(&rows);
+            let last = rows.last().filter(|_| page.has_more);
+            let Some(last) = last else { break };
+            // The last result may have further rows.
+            values.pop();
+            if values.iter().map(|(_, value)| value.len()).sum::<usize>() > MAX_PAGE_BYTES {
+                break;
+            }
+            start = row_key_after(&last.key);
+        }
+        drop(rows);
+        let results = decode_results(values)?;
+        self.jobs.cache.borrow_mut().add(job, from, &results);
+        Ok(first_page(results.into_iter()))
+    }
+}
+
+fn decode_results(values: Vec<(usize, Vec<u8>)>) -> RowResult<Vec<Rc<JobItemResult>>> {
+    let results = values.into_iter().map(|(_, value)| decode(&value).map_err(RowError::Refused));
+    results.map(|result| result.map(Rc::new)).collect()
 }
--- a/crates/ebonydock/src/gateway/mod.rs
+++ b/crates/ebonydock/src/gateway/mod.rs
@@ -57,7 +57,7 @@
 pub use followers::{OperatorRecord, RolloutState, RolloutStatus, RowDecoder};
 pub use forward::{ForwardResponse, GatewayRefusal, RefusalReason, ResponseBody};
 pub use handle::{Gateway, GatewaySettings};
-pub use job_api::{JobApiResult, JobRefusal, JobResultPage};
+pub use job_api::{JobApiResult, JobItemBody, JobRefusal, JobResultPage};
 pub use job_records::{JobItem, JobItemResult, JobSubmission};
 pub use load::{
     AnswerCount, LoadReport, LoadUpdate, PartAnswer, PromptFailure, PromptReport, ReportFrame,
--- a/crates/ebonydock/src/gateway/runtime.rs
+++ b/crates/ebonydock/src/gateway/runtime.rs
@@ -32,6 +32,7 @@
 use crate::placement::dispatcher::RequestDispatcher;
 use crate::placement::slots::ServingTarget;
 use crate::platform::rows::RowStore;
+use crate::result_pages::PageLedger;
 use crate::rollouts::RolloutLeader;
 use crate::rollouts::service::RolloutService;
 
@@ -52,6 +53,7 @@
     pub(crate) jobs: JobService,
     pub(crate) leases: LeaseRegistry,
     pub(crate) memory: MemoryLedger,
+    pub(crate) pages: PageLedger,
     pub(crate) prompts: PromptGuard,
     /// `None` where roll-outs are not enabled.
     pub(crate) rollouts: Option<Rc<RolloutService>>,
@@ -92,6 +94,7 @@
     ) -> Result<Rc<Self>, String> {
         let incarnation = new_incarnation();
         let peering = GatewayPeering::bind(&settings, incarnation)?;
+        let memory = MemoryLedger::open(settings.memory.clone());
         let core = Rc::new(Self {
             dispatcher: RefCell::new(RequestDispatcher::open(
                 &settings.vm,
@@ -103,7 +106,8 @@
                 let local = RolloutLeader { vm: settings.vm.clone(), incarnation };
                 Rc::new(RolloutService::open(bounds, local))
             }),
-            memory: MemoryLedger::open(settings.memory.clone()),
+            pages: PageLedger::open(memory.clone()),
+            memory,
             settings,
             incarnation,
             transport,
--- a/crates/ebonydock/src/gateway/tests/configurations.rs
+++ b/crates/ebonydock/src/gateway/tests/configurations.rs
@@ -133,7 +133,7 @@
         site.store.put("operators", "config", b"");
         tokio::time::sleep(Duration::from_secs(3)).await;
         let page = gateway.job_results(Some(&key()), "j1", 0, Duration::ZERO).await.unwrap();
-        assert_eq!(page.next, 0, "{:?}", page.results);
+        assert_eq!(page.next, 0, "{:?}", page.results());
         site.configure(config(4, vec![batch_route("evening")]));
         let results = all_results(&gateway, "j1").await;
         assert!(all_complete(&results, 20), "{results:?}");
--- a/crates/ebonydock/src/gateway/tests/jobs.rs
+++ b/crates/ebonydock/src/gateway/tests/jobs.rs
@@ -9,10 +9,11 @@
 use crate::configuration::KeyHash;
 use crate::gateway::connections::SendError;
 use crate::gateway::handle::Gateway;
-use crate::gateway::job_api::{JobRefusal, JobResultPage};
+use crate::gateway::job_api::JobRefusal;
 use crate::gateway::job_records::{JobItem, JobItemResult, JobSubmission};
 use crate::gateway::request::TokenDemand;
 use crate::gateway::tests::fakes::{FakeSite, FakeTargets, TargetBehavior, request, run};
+use crate::memory::MemoryKind;
 
 pub(super) const ITEMS: u32 = 5;
 
@@ -48,10 +49,11 @@
     for _ in 0..200 {
         let after = results.len() as u32;
         let page = gateway.job_results(Some(&key()), id, after, Duration::from_secs(1)).await;
-        let JobResultPage { total, next, results: page } = page.unwrap();
-        assert_eq!((total, next), (ITEMS, after + page.len() as u32));
-        results.extend(page);
-        if results.len() as u32 == total {
+        let page = page.unwrap();
+        let found = page.results();
+        assert_eq!((page.total, page.next), (ITEMS, after + found.len() as u32));
+        results.extend(found.iter().map(|result| JobItemResult::clone(result)));
+        if results.len() as u32 == page.total {
             return results;
         }
     }
@@ -287,7 +289,36 @@
         tokio::time::sleep(Duration::from_secs(10)).await;
         assert_eq!(site.targets.seen.borrow().len(), attempts);
         let page = gateway.job_results(Some(&key()), "j1", 0, Duration::ZERO).await.unwrap();
-        assert_eq!(page.results.len(), 1);
+        assert_eq!(page.results().len(), 1);
+    });
+}
+
+// Guards against callers that make a VM read the rows of whole jobs at once, any number of times and outside the budget.
+#[test]
+fn reads_of_rows_for_callers_are_counted_and_bounded() {
+    run(async {
+        let site = FakeSite::open(FakeTargets::open(|_, _| TargetBehavior::Hangs));
+        site.gateway("vm1").await.submit_job(submission("j1")).await.unwrap();
+        let other = site.gateway("vm2").await;
+        let calls: Vec<_> = (0..50)
+            .map(|_| {
+                let other = other.clone();
+                tokio::task::spawn_local(async move {
+                    other.job_item(Some(&key()), "j1", "j1-2").await.map(|item| item.body)
+                })
+            })
+            .collect();
+        let mut peak = 0;
+        while !calls.iter().all(tokio::task::JoinHandle::is_finished) {
+            peak = peak.max(other.memory().held_by_kind(MemoryKind::Batch));
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        for call in calls {
+            assert_eq!(call.await.unwrap().as_deref(), Ok([2; 10].as_slice()));
+        }
+        // Two reads of at most 700 KB of items in three copies.
+        assert!((700_000..=2 * 3 * 700_000).contains(&peak), "{peak}");
+        assert_eq!(other.memory().held_by_kind(MemoryKind::Batch), 0);
     });
 }
 
@@ -298,14 +329,14 @@
         let gateway = site.gateway("vm1").await;
         gateway.submit_job(submission("j1")).await.unwrap();
         let body = gateway.job_item(Some(&key()), "j1", "j1-2").await.unwrap();
-        assert_eq!(&body[..], [2; 10]);
+        assert_eq!(&body.body[..], [2; 10]);
         let unknown = gateway.job_item(Some(&key()), "j1", "other").await;
-        assert_eq!(unknown, Err(JobRefusal::Unknown));
+        assert_eq!(unknown.err(), Some(JobRefusal::Unknown));
         let unknown = gateway.job_results(Some(&key()), "j2", 0, Duration::ZERO).await;
-        assert_eq!(unknown, Err(JobRefusal::Unknown));
+        assert_eq!(unknown.err(), Some(JobRefusal::Unknown));
         let other = KeyHash::of("other");
         let refused = gateway.job_results(Some(&other), "j1", 0, Duration::ZERO).await;
-        assert_eq!(refused, Err(JobRefusal::BadKey));
+        assert_eq!(refused.err(), Some(JobRefusal::BadKey));
     });
 }
 
@@ -317,7 +348,7 @@
         site.store.refuses.set(true);
         tokio::time::sleep(Duration::from_secs(20)).await;
         let unsure = gateway.job_results(Some(&key()), "j1", 0, Duration::ZERO).await;
-        assert_eq!(unsure, Err(JobRefusal::Unavailable));
+        assert_eq!(unsure.err(), Some(JobRefusal::Unavailable));
     });
 }
 
@@ -372,7 +403,7 @@
         let results = all_results(&second, "j1").await;
         assert!(results.iter().all(|result| result.completed && result.text == full_output(3)));
         let stale = first.job_results(Some(&key()), "j1", 0, Duration::ZERO).await.unwrap();
-        assert_eq!(stale.results, results);
+        assert!(stale.results().iter().map(|result| &**result).eq(&results));
     });
 }
 
--- a/crates/ebonydock/src/gateway/tests/leads.rs
+++ b/crates/ebonydock/src/gateway/tests/leads.rs
@@ -168,6 +168,6 @@
         gateway.submit_job(submission("j1")).await.unwrap();
         assert_eq!(site.store.apply_withheld(), 0);
         let body = site.gateway("vm2").await.job_item(Some(&key()), "j1", "j1-2").await;
-        assert_eq!(body.as_deref(), Ok([2; 10].as_slice()));
+        assert_eq!(&body.unwrap().body[..], [2; 10]);
     });
 }
--- a/crates/ebonydock/src/gateway/tests/lost_service.rs
+++ b/crates/ebonydock/src/gateway/tests/lost_service.rs
@@ -158,7 +158,7 @@
         lost.start_targets();
         tokio::time::sleep(Duration::from_secs(5)).await;
         let page = gateway.job_results(Some(&key()), "job", 0, Duration::from_secs(1)).await;
-        assert_eq!(page.unwrap().results.len(), 10);
+        assert_eq!(page.unwrap().results().len(), 10);
     });
 }
 
--- a/crates/ebonydock/src/lib.rs
+++ b/crates/ebonydock/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod placement;
 mod platform;
+mod result_pages;
 mod rollouts;
 mod routing;
 mod scheduling;
@@ -36,13 +37,14 @@
     AnswerCount, BatchPolicy, BodyBudget, BodyReceiver, BudgetShare, CallerLimits, ConnectionPool,
     CrashVerdict, EventSplitter, FailureLedger, ForwardResponse, ForwardRoute, ForwardedRequest,
     Gateway, GatewayConfig, GatewayMetrics, GatewayRefusal, GatewaySettings, GatewayWorkspace,
-    JobApiResult, JobItem, JobItemResult, JobRefusal, JobResultPage, JobSubmission, LoadReport,
-    LoadUpdate, OperatorRecord, OversizedEvent, PartAnswer, PartSet, PooledBody, PooledResponse,
-    PromptFailure, PromptPart, PromptReport, QuarantineList, QuotaLedger, QuotaState,
-    RefusalReason, ReportFrame, ReportInterest, ReportedQuarantine, RequestId, ResponseBody,
-    ResponseMeaning, RolloutState, RolloutStatus, RouteBackend, RouteCatalog, RouteClass,
-    RouteMiss, RowDecoder, SendError, ServiceProfile, SpentQuota, StreamEvent, TargetAttempt,
-    TargetBodyStream, TargetResponse, TargetTransport, TokenDemand, open_decision_log,
+    JobApiResult, JobItem, JobItemBody, JobItemResult, JobRefusal, JobResultPage, JobSubmission,
+    LoadReport, LoadUpdate, OperatorRecord, OversizedEvent, PartAnswer, PartSet, PooledBody,
+    PooledResponse, PromptFailure, PromptPart, PromptReport, QuarantineList, QuotaLedger,
+    QuotaState, RefusalReason, ReportFrame, ReportInterest, ReportedQuarantine, RequestId,
+    ResponseBody, ResponseMeaning, RolloutState, RolloutStatus, RouteBackend, RouteCatalog,
+    RouteClass, RouteMiss, RowDecoder, SendError, ServiceProfile, SpentQuota, StreamEvent,
+    TargetAttempt, TargetBodyStream, TargetResponse, TargetTransport, TokenDemand,
+    open_decision_log,
 };
 pub use ids::{
     AttemptId, ConfigVersion, DataCentreId, Epoch, JobId, LeaseId, ModelName, ObjectName, PlanName,
@@ -55,7 +57,8 @@
 pub use membership::{HeartbeatTimeouts, MemberRecord, MembershipView};
 pub use memory::{
     AdmittedConnection, ConnectionAdmission, ConnectionTable, HolderId, MemoryBudget, MemoryKind,
-    MemoryLease, MemoryLedger, MemorySettings, MemoryShortage, RequestBuffer,
+    MemoryLease, MemoryLedger, MemorySettings, MemoryShortage, Reclaimable, RequestBuffer,
+    TransferId,
 };
 pub use operators::messages::{
     ConfigReply, DataCentreReport, EditBody, EditReply, KeyEntry, MemberReport, StatusReply,
@@ -75,6 +78,7 @@
     RowCondition, RowWrite, TableRow, TableStore, TableTransaction, TargetEntry, TargetRole,
     VmEntry,
 };
+pub use result_pages::{HeldPage, PageLedger};
 pub use rollouts::{
     AnswerSample, AnswerStage, AnswerTally, ClaimWait, CohortEvidence, CohortLoad, EvidencePart,
     EvidenceSummary, FleetEvidence, GroupTally, LEASE_RENEWAL_INTERVAL, OrderFault,
--- a/crates/ebonydock/src/memory/ledger.rs
+++ b/crates/ebonydock/src/memory/ledger.rs
@@ -2,14 +2,16 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use ntex::util::{Bytes, BytesMut};
 use tokio::sync::Notify;
 
 use crate::clock::monotonic;
-use crate::memory::{HolderId, MemoryBudget, MemoryKind, MemorySettings, MemoryShortage};
+use crate::memory::{
+    HolderId, MemoryBudget, MemoryKind, MemorySettings, MemoryShortage, TransferId,
+};
 
 /// What a holder costs beside its bytes: its task, its head and its entry here.
 const HOLDER_OVERHEAD_BYTES: u64 = 4 * 1024;
@@ -17,6 +19,15 @@
 const FIRST_BODY_BYTES: usize = 4 * 1024;
 /// Interval of the log line about refusals and reclaimed allocations.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
+/// Bounds of Retry-After for a request for which there was no memory.
+const RETRY_AFTER_BOUNDS: (Duration, Duration) =
+    (Duration::from_millis(500), Duration::from_secs(2));
+
+/// What is freed when a holder loses its allocation.
+pub trait Reclaimable {
+    /// Frees the memory at once, before the tasks that use it run again.
+    fn reclaim(&self);
+}
 
 /// The part of a holder that the budget takes away with its memory.
 #[derive(Default)]
@@ -26,11 +37,19 @@
     reclaimed: Notify,
 }
 
+impl Reclaimable for HeldBuffer {
+    fn reclaim(&self) {
+        self.is_reclaimed.set(true);
+        drop(self.bytes.take());
+        self.reclaimed.notify_one();
+    }
+}
+
 struct LedgerState {
     settings: MemorySettings,
     budget: RefCell<MemoryBudget>,
-    /// The buffers of bodies that arrive.
-    buffers: RefCell<HashMap<HolderId, Rc<HeldBuffer>>>,
+    /// What is held by holders that may lose their allocation.
+    buffers: RefCell<HashMap<HolderId, Weak<dyn Reclaimable>>>,
     refused: Cell<u64>,
     reclaimed: Cell<u64>,
     /// When the last line was logged, and what was counted then.
@@ -79,6 +98,32 @@
     pub fn try_resize(&self, bytes: usize) -> bool {
         self.ledger.try_resize(self.id, bytes as u64).is_ok()
     }
+
+    /// Sets what is freed when all transfers are too slow and another holder needs the memory.
+    pub fn set_reclaimable(&self, held: Weak<dyn Reclaimable>) {
+        self.ledger.state.buffers.borrow_mut().insert(self.id, held);
+    }
+
+    /// Records that the memory is needed by one more transfer.
+    pub fn begin_transfer(&self) -> TransferId {
+        self.ledger.state.budget.borrow_mut().begin_transfer(monotonic(), self.id)
+    }
+
+    /// Records that bytes of a transfer moved.
+    pub fn record_transfer(&self, transfer: TransferId, bytes: usize) {
+        let mut budget = self.ledger.state.budget.borrow_mut();
+        budget.record_transfer(monotonic(), self.id, transfer, bytes as u64);
+    }
+
+    /// Records that a transfer has ended.
+    pub fn end_transfer(&self, transfer: TransferId) {
+        self.ledger.state.budget.borrow_mut().end_transfer(self.id, transfer);
+    }
+
+    /// Records a request that was refused although the lease needed less than its whole size.
+    pub fn record_refusal(&self) {
+        self.ledger.record_refusal();
+    }
 }
 
 impl MemoryLedger {
@@ -110,7 +155,14 @@
         self.state.refused.get()
     }
 
-    /// Returns the number of bodies that lost their allocation to others.
+    /// Returns after which time a caller for whose request there is no memory may find some.
+    pub fn retry_after(&self) -> Duration {
+        let (min, max) = RETRY_AFTER_BOUNDS;
+        let to_reclaim = self.state.budget.borrow().time_to_reclaim(monotonic());
+        to_reclaim.unwrap_or(max).clamp(min, max)
+    }
+
+    /// Returns the number of holders that lost their allocation to others.
     pub fn reclaimed(&self) -> u64 {
         self.state.reclaimed.get()
     }
@@ -134,6 +186,12 @@
         lease.try_resize(bytes).then_some(lease)
     }
 
+    /// Adds a holder of results of an owner, whose memory several transfers share. It has no memory yet.
+    pub fn open_shared(&self, kind: MemoryKind, owner: u64) -> MemoryLease {
+        let id = self.state.budget.borrow_mut().add_shared(kind, owner);
+        MemoryLease { ledger: self.clone(), id }
+    }
+
     /// Reserves memory for a body that is about to arrive, all of it if its length is announced.
     ///
     /// # Errors
@@ -146,19 +204,24 @@
         self.resize(id, capacity as u64 + HOLDER_OVERHEAD_BYTES)?;
         let held = Rc::new(HeldBuffer::default());
         *held.bytes.borrow_mut() = BytesMut::with_capacity(capacity);
-        self.state.buffers.borrow_mut().insert(id, Rc::clone(&held));
+        let buffer: Rc<dyn Reclaimable> = Rc::clone(&held) as _;
+        self.state.buffers.borrow_mut().insert(id, Rc::downgrade(&buffer));
         Ok(RequestBuffer { lease, held, capacity })
     }
 
     fn resize(&self, id: HolderId, bytes: u64) -> Result<(), MemoryShortage> {
         let resized = self.try_resize(id, bytes);
         if resized.is_err() {
-            self.state.refused.set(self.state.refused.get() + 1);
-            self.log_shortage();
+            self.record_refusal();
         }
         resized
     }
 
+    fn record_refusal(&self) {
+        self.state.refused.set(self.state.refused.get() + 1);
+        self.log_shortage();
+    }
+
     fn try_resize(&self, id: HolderId, bytes: u64) -> Result<(), MemoryShortage> {
         let reclaimed = self.state.budget.borrow_mut().resize(monotonic(), id, bytes)?;
         for id in &reclaimed {
@@ -170,13 +233,12 @@
         Ok(())
     }
 
-    /// Frees the buffer of a body that lost its allocation, before its task runs again.
+    /// Frees what a holder that lost its allocation holds.
     fn reclaim(&self, id: HolderId) {
         self.state.reclaimed.set(self.state.reclaimed.get() + 1);
-        if let Some(held) = self.state.buffers.borrow_mut().remove(&id) {
-            held.is_reclaimed.set(true);
-            drop(held.bytes.take());
-            held.reclaimed.notify_one();
+        let held = self.state.buffers.borrow_mut().remove(&id);
+        if let Some(held) = held.and_then(|held| held.upgrade()) {
+            held.reclaim();
         }
     }
 
--- a/crates/ebonydock/src/memory/mod.rs
+++ b/crates/ebonydock/src/memory/mod.rs
@@ -10,7 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use budget::{HolderId, MemoryBudget, MemoryKind, MemoryShortage};
+pub use budget::{HolderId, MemoryBudget, MemoryKind, MemoryShortage, TransferId};
 pub use connections::{AdmittedConnection, ConnectionAdmission, ConnectionTable};
-pub use ledger::{MemoryLease, MemoryLedger, RequestBuffer};
+pub use ledger::{MemoryLease, MemoryLedger, Reclaimable, RequestBuffer};
 pub use settings::MemorySettings;
--- a/crates/ebonydock/src/memory/settings.rs
+++ b/crates/ebonydock/src/memory/settings.rs
@@ -16,6 +16,10 @@
 const SMALL_RESERVE_FRACTION: f64 = 0.25;
 /// The part of the budget that unread responses may use.
 const RESPONSE_FRACTION: f64 = 0.35;
+/// The part of the budget that results of jobs may use while their readers take them, and the part of it that the
+/// readers of one workspace may use.
+const RESULT_FRACTION: f64 = 0.35;
+const OWNER_RESULT_FRACTION: f64 = 0.5;
 /// Bodies up to this size are small. Requests of ordinary callers have a few KB.
 const SMALL_BYTES: u64 = 64 * 1024;
 /// Descriptors for files.
@@ -27,6 +31,8 @@
 const MIN_BODY_RATE: u64 = 8 * 1024;
 /// A path that loses packets can stall for several retransmission timeouts.
 const BODY_STALL_TIME: Duration = Duration::from_secs(1);
+/// A connection takes a response in pieces of up to 32 KB, which are 4 s apart at the minimum rate.
+const RESPONSE_STALL_TIME: Duration = Duration::from_secs(4);
 
 /// Limits of what a VM holds for callers and targets.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,10 +45,17 @@
     pub small_bytes: u64,
     /// Bytes that responses that callers have not read may have together.
     pub response_bytes: u64,
-    /// A body that arrives more slowly loses its allocation when another one needs it, in bytes per second.
+    /// Bytes that results of jobs may have together while their readers take them.
+    pub result_bytes: u64,
+    /// The part of `result_bytes` that the readers of one workspace may use.
+    pub owner_result_bytes: u64,
+    /// A body that arrives, or a page of results that is read, more slowly loses its allocation when another one needs
+    /// it, in bytes per second.
     pub min_body_rate: u64,
     /// A body of which nothing arrives for this long does so as well.
     pub body_stall_time: Duration,
+    /// A page of results of which nothing is read for this long does so as well.
+    pub response_stall_time: Duration,
     /// Limit for connections of callers.
     pub max_caller_connections: usize,
     /// Limit for idle connections to targets and to the platform.
@@ -79,8 +92,11 @@
             small_reserve_bytes: part(SMALL_RESERVE_FRACTION),
             small_bytes: SMALL_BYTES,
             response_bytes: part(RESPONSE_FRACTION),
+            result_bytes: part(RESULT_FRACTION),
+            owner_result_bytes: part(RESULT_FRACTION * OWNER_RESULT_FRACTION),
             min_body_rate: MIN_BODY_RATE,
             body_stall_time: BODY_STALL_TIME,
+            response_stall_time: RESPONSE_STALL_TIME,
             max_caller_connections,
             max_idle_connections: for_connections - 2 * max_caller_connections,
             // At the limit of connections, unread bytes then take less than a tenth of the memory.
@@ -100,6 +116,8 @@
         let parts = [
             ("small_reserve_bytes", self.small_reserve_bytes),
             ("response_bytes", self.response_bytes),
+            ("result_bytes", self.result_bytes),
+            ("owner_result_bytes", self.owner_result_bytes),
             ("small_bytes", self.small_bytes),
         ];
         if let Some((name, bytes)) = parts.into_iter().find(|(_, bytes)| *bytes > self.budget_bytes)
@@ -121,8 +139,11 @@
             small_reserve_bytes: 0,
             small_bytes: SMALL_BYTES,
             response_bytes: (DEFAULT_MEMORY_BYTES as f64 * BUDGET_FRACTION) as u64,
+            result_bytes: (DEFAULT_MEMORY_BYTES as f64 * BUDGET_FRACTION) as u64,
+            owner_result_bytes: (DEFAULT_MEMORY_BYTES as f64 * BUDGET_FRACTION) as u64,
             min_body_rate: MIN_BODY_RATE,
             body_stall_time: BODY_STALL_TIME,
+            response_stall_time: RESPONSE_STALL_TIME,
             max_caller_connections: DEFAULT_DESCRIPTORS,
             max_idle_connections: DEFAULT_DESCRIPTORS,
             receive_buffer_bytes: None,
--- a/crates/ebonydock/src/platform/rows.rs
+++ b/crates/ebonydock/src/platform/rows.rs
@@ -116,8 +116,7 @@
     let mut all = store.range(table, partition, from, to).await?;
     while all.has_more {
         let Some(last) = all.rows.last() else { break };
-        // The smallest possible next key: keys contain no character that sorts before the space.
-        let from = format!("{} ", last.key);
+        let from = row_key_after(&last.key);
         let page = store.range(table, partition, &from, to).await?;
         all.rows.extend(page.rows);
         all.version = all.version.min(page.version);
@@ -127,6 +126,11 @@
     Ok(all)
 }
 
+/// Returns the smallest possible key after another one: keys contain no character that sorts before the space.
+pub(crate) fn row_key_after(key: &str) -> String {
+    format!("{key} ")
+}
+
 /// Store of the platform's rows.
 pub trait RowStore {
     /// Runs a transaction and returns the new version of all rows that it wrote.
