--- a/crates/ebonydock/src/gateway/tests/lost_service.rs
+++ b/crates/ebonydock/src/gateway/tests/lost_service.rs
@@ -25,6 +25,8 @@
 struct LostSite {
     site: FakeSite,
     is_lost: Rc<Cell<bool>>,
+    /// Whether targets accept requests and send nothing.
+    is_silent: Rc<Cell<bool>>,
     /// Whether targets end at requests with the common part after their return, too.
     is_deadly: Rc<Cell<bool>>,
     /// Targets that a request ended.
@@ -36,6 +38,8 @@
     fn open() -> Self {
         let (is_lost, is_deadly) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
         let (lost, deadly) = (Rc::clone(&is_lost), Rc::clone(&is_deadly));
+        let is_silent = Rc::new(Cell::new(false));
+        let silent = Rc::clone(&is_silent);
         let ended: Rc<RefCell<BTreeSet<String>>> = Rc::default();
         let known = Rc::clone(&ended);
         let targets = FakeTargets::open(move |seen, _| {
@@ -43,6 +47,9 @@
             if known.borrow().contains(&seen.target) {
                 return TargetBehavior::Fails(SendError::NotSent("refused".to_owned()));
             }
+            if silent.get() {
+                return TargetBehavior::Hangs;
+            }
             if ends {
                 known.borrow_mut().insert(seen.target.clone());
             }
@@ -52,7 +59,7 @@
             TargetBehavior::Events(3, true)
         });
         let site = FakeSite::open(targets);
-        let lost = Self { site, is_lost, is_deadly, ended, starts: Cell::new(0) };
+        let lost = Self { site, is_lost, is_silent, is_deadly, ended, starts: Cell::new(0) };
         lost.start_targets();
         lost
     }
@@ -162,6 +169,27 @@
     });
 }
 
+// Guards against items that time out at silent targets and count as proof that their common part crashes these.
+#[test]
+fn service_with_silent_targets_is_served_once_they_answer() {
+    run(async {
+        let lost = LostSite::open();
+        let gateway = lost.site.gateway("vm1").await;
+        serve_requests(&gateway, OTHER_PART).await;
+        lost.is_silent.set(true);
+        let items = (0..20).map(|number| job_item(&format!("i{number}"), &[COMMON_PART]));
+        gateway.submit_job(job(items.collect())).await.unwrap();
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        assert!(lost.site.store.keys("gateway_quarantines").is_empty());
+        lost.is_silent.set(false);
+        // Each of them has failed, and is kept from requests for a while.
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        assert!(send(&gateway, "online").await.is_ok());
+        let page = gateway.job_results(Some(&key()), "job", 0, Duration::from_secs(1)).await;
+        assert_eq!(page.unwrap().results().len(), 20);
+    });
+}
+
 // Guards against a second loss of all targets by a part that really ends them and took the first ones at one moment.
 #[test]
 fn part_that_ends_all_targets_at_once_reaches_one_more_after_their_return() {
